Bound what half-sent bodies and slow clients hold; close gently after bad input

And closing on unread bytes of an oversized request resets the connection, which can take the 413 along. Now: 16 MiB of whole bodies, 8 MiB coming in, 64 KiB a slow client, 480 clients; past these 503. After bad input the connection closes when the client has, or after a second.

--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -23,7 +23,7 @@
 public final class Desk {
     /** Memory and descriptors are bounded: beyond these, requests are refused and lines not opened. */
     static final int MOST_REQUESTS = 500;
-    static final int MOST_BYTES = 32 << 20;
+    static final int MOST_BYTES = 16 << 20;
     static final int MOST_LINES = 400;
     /** A line idle for this part of the keepalive is closed: a box closing it might cross a try. */
     private static final double KEEP_PART = 0.8;
@@ -32,8 +32,8 @@
     /** A client that takes nothing for so long is cut off, for its stream holds a box's line. */
     static final long STALL = 30_000_000;
     /** So much may wait for a slow client before its box is no longer read; at so little it goes on. */
-    static final int MOST_UNSENT = 256 * 1024;
-    static final int FEW_UNSENT = 64 * 1024;
+    static final int MOST_UNSENT = 64 * 1024;
+    static final int FEW_UNSENT = 16 * 1024;
     /** If the module has given no final answer so long after the deadline, the desk does. */
     private static final long ANSWER_SLACK = 10_000;
     /** How long a call for the list may wait for news, and how much longer the answer may take. */
--- a/src/main/java/yewdock/http/MessageReader.java
+++ b/src/main/java/yewdock/http/MessageReader.java
@@ -23,7 +23,7 @@
         void head(Head head) throws BadMessageException;
 
         /** A piece of the body, without its framing. */
-        void body(ByteBuffer piece);
+        void body(ByteBuffer piece) throws BadMessageException;
 
         /** The message is whole. */
         void end();
@@ -81,7 +81,7 @@
         }
     }
 
-    private void piece(ByteBuffer in) {
+    private void piece(ByteBuffer in) throws BadMessageException {
         int n = state == State.UNTIL_CLOSE ? in.remaining() : (int) Math.min(in.remaining(), left);
         ByteBuffer piece = in.slice(in.position(), n);
         in.position(in.position() + n);
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -32,6 +32,8 @@
     private boolean begun;
     private boolean closing;
     private boolean held;
+    /** Whether the client may still be sending what was not read. */
+    private boolean gently;
 
     ClientSide(Front front, long id, Wire wire) {
         this.front = front;
@@ -79,12 +81,15 @@
             }
         } catch (BadMessageException e) {
             front.counters().add("requests.malformed");
+            forgetBody();
             closing = true;
+            gently = true;
             answer(e.status(), e.getMessage() + "\n", "");
         } catch (RuntimeException e) {
             // A fault of ours in reading one request must leave neither it nor the others unanswered.
             front.counters().add("faults");
             front.log("fault: " + e);
+            forgetBody();
             closing = true;
             answer(500, "a fault in the router\n", "");
         }
@@ -100,10 +105,20 @@
     }
 
     @Override
-    public void body(ByteBuffer piece) {
+    public void body(ByteBuffer piece) throws BadMessageException {
         byte[] bytes = new byte[piece.remaining()];
         piece.get(bytes);
         body.writeBytes(bytes);
+        if (!front.coming(bytes.length)) {
+            throw new BadMessageException(503, "no room for another request");
+        }
+    }
+
+    private void forgetBody() {
+        if (body != null) {
+            front.coming(-body.size());
+            body = null;
+        }
     }
 
     @Override
@@ -124,7 +139,13 @@
                     throw new BadMessageException(505, "streams need HTTP/1.1");
                 } else {
                     request = new ClientRequest(head, body.toByteArray());
-                    body = null;
+                    forgetBody();
+                    if (front.crowded()) {
+                        front.counters().add("answers.refused_for_room");
+                        closing = true;
+                        refuse(0);
+                        return;
+                    }
                     front.happened(new Event.Asked(id, request.read(front.names())));
                 }
             }
@@ -207,8 +228,13 @@
     private void finished() {
         busy = false;
         request = null;
+        forgetBody();
         if (closing) {
-            wire.closeAfterWriting();
+            if (gently) {
+                wire.closeGently();
+            } else {
+                wire.closeAfterWriting();
+            }
             return;
         }
         if (front.closingIdle() && ahead.isEmpty()) {
@@ -243,6 +269,7 @@
     @Override
     public void down() {
         closing = true;
+        forgetBody();
         front.clientClosed(id);
     }
 }
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -18,6 +18,11 @@
  * into bytes. Not thread-safe: one thread runs it, the desk and all sides.
  */
 public final class Front {
+    /** With more clients than this, requests are refused and connections closed. */
+    public static final int MOST_CLIENTS = 480;
+    /** Bodies that are still coming in may hold this much together; the desk bounds those that are whole. */
+    private static final int MOST_COMING = 8 << 20;
+
     private final Desk desk;
     private final Counters counters;
     private final Wires wires;
@@ -32,6 +37,7 @@
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean working;
     private long lastClient;
+    private int coming;
     private boolean closing;
 
     public Front(Config config, Desk desk, Counters counters, Wires wires, LongSupplier clock,
@@ -153,6 +159,16 @@
         happened(new Event.LineDown(id));
     }
 
+    /** Counts more, or with a negative number less, of bodies coming in; false if that is too much. */
+    boolean coming(int bytes) {
+        coming += bytes;
+        return coming <= MOST_COMING;
+    }
+
+    boolean crowded() {
+        return clients.size() > MOST_CLIENTS;
+    }
+
     boolean ready() {
         return desk.ready();
     }
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -13,6 +13,9 @@
     /** Closes when all has been written. */
     void closeAfterWriting();
 
+    /** Closes when the other side has, or after a second: closing on unread bytes could lose the answer. */
+    void closeGently();
+
     /** Stops reading, or goes on. */
     void hold(boolean held);
 }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -14,6 +14,7 @@
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -35,7 +36,7 @@
 public final class Sockets implements Wires {
     private static final AttributeKey WIRE = new AttributeKey(Sockets.class, "wire");
     /** Clients beyond so many are closed on arrival: with the lines to boxes they fit the descriptors. */
-    private static final int MOST_CLIENTS = 500;
+    private static final int MOST_CLIENTS = Front.MOST_CLIENTS + 60;
     private static final int BACKLOG = 512;
     private static final int LARGEST_READ = 16 * 1024;
     private static final long LAST_WRITES_MILLIS = 300;
@@ -190,6 +191,11 @@
             session.closeOnFlush();
         }
 
+        @Override
+        public void closeGently() {
+            session.getConfig().setWriterIdleTime(1);
+        }
+
         @Override
         public void hold(boolean held) {
             if (held) {
@@ -253,6 +259,12 @@
             queue.add(new Task(wire, () -> wire.side.written(bytes)));
         }
 
+        /** Only connections that are being closed gently have an idle time. */
+        @Override
+        public void sessionIdle(IoSession session, IdleStatus status) {
+            session.closeNow();
+        }
+
         @Override
         public void sessionClosed(IoSession session) {
             SessionWire wire = wire(session);
--- /dev/null
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -0,0 +1,65 @@
+package yewdock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import yewdock.desk.BoxList;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.ModelRequest;
+
+/** The router refuses before it runs out of memory or descriptors. */
+class BoundsTest {
+    private static final int MEGABYTE = 1 << 20;
+    private final Counters counters = new Counters();
+    private final Desk desk = new Desk(250_000, 5_000_000, counters, InOrderModule::new);
+
+    private List<Effect> ask(long client, int size) {
+        ModelRequest request = new ModelRequest(0, 0, false, 1, 1, 1, 0, 2, 9_000_000, size);
+        return desk.reduce(new Event.Asked(client, request), 1_000);
+    }
+
+    /** The requests are for 2 tokens, so the module leaves them all open. */
+    @Test
+    void refusesBeyondItsMemoryAndTakesAgainWhenThereIsRoom() {
+        desk.reduce(new Event.Started(BoxList.NOTHING), 0);
+        for (int client = 1; client <= 16; client++) {
+            assertEquals(List.of(), ask(client, MEGABYTE));
+        }
+        assertEquals(List.of(new Effect.Refuse(17, 0)), ask(17, 1));
+        desk.reduce(new Event.ClientLeft(3), 2_000);
+        assertEquals(List.of(), ask(18, MEGABYTE));
+    }
+
+    @Test
+    void refusesBeyondItsNumberOfRequests() {
+        desk.reduce(new Event.Started(BoxList.NOTHING), 0);
+        IntStream.rangeClosed(1, 500).forEach(client -> assertEquals(List.of(), ask(client, 1)));
+        assertEquals(List.of(new Effect.Refuse(501, 0)), ask(501, 1));
+        assertEquals(1, counters.get("answers.refused_for_room"));
+    }
+
+    /** Half-sent bodies are held too: 40 clients of 250 KB each would be 10 MB. */
+    @Test
+    void refusesBodiesThatNeverEnd() throws Exception {
+        List<String> lines = new ArrayList<>();
+        for (int client = 1; client <= 40; client++) {
+            lines.add("> 0 c" + client + " opens");
+            lines.add("> 0 c" + client + " sends POST /v1/chat/completions HTTP/1.1|Content-Length: 260000||"
+                    + "(70000)(70000)(70000)");
+        }
+        lines.add("> 1 c1 down");
+        lines.add("> 2 c41 opens");
+        lines.add("> 2 c41 sends POST /v1/chat/completions HTTP/1.1|Content-Length: 260000||(70000)");
+        var told = Exchange.play(lines, 0).told();
+        assertTrue(told.get("c40").contains("503"), told.get("c40"));
+        assertEquals(Set.of("c40"), told.keySet());
+    }
+}
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -58,6 +58,7 @@
                 line = log.readLine();
             }
             int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            assertOversizedIsAnswered(local, port);
             try (Socket client = new Socket(local, port)) {
                 client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\n"
                         + "X-Correlation-Id: 1\r\nX-Service-Class: chat\r\n"
@@ -87,6 +88,17 @@
         }
     }
 
+    /** Closing on bytes that were never read would reset the connection and could take the answer along. */
+    private static void assertOversizedIsAnswered(InetAddress local, int port) throws IOException {
+        try (Socket client = new Socket(local, port)) {
+            String head = "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+            byte[] request = (head + "x".repeat(1_000_000)).getBytes(StandardCharsets.US_ASCII);
+            client.getOutputStream().write(request);
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+        }
+    }
+
     private static String at(ServerSocket socket) {
         return "127.0.0.1:" + socket.getLocalPort();
     }
