Close clients that have gone quiet with no request open

Seen by reading: a client half-way through a request, or gone without a close, held its descriptor for ever. Now 75 s without a byte closes it, unless its request is open.

--- a/src/main/java/yewdock/platform/BoxSide.java
+++ b/src/main/java/yewdock/platform/BoxSide.java
@@ -68,6 +68,11 @@
         wire.write(all);
     }
 
+    @Override
+    public void idle() {
+        // the desk keeps the times of the router's own connections
+    }
+
     @Override
     public void written(int bytes) {
         toWrite -= bytes;
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -266,6 +266,14 @@
         }
     }
 
+    /** A client that has gone quiet without leaving, or half-way through a request, holds a descriptor. */
+    @Override
+    public void idle() {
+        if (closing || !busy) {
+            wire.close();
+        }
+    }
+
     @Override
     public void down() {
         closing = true;
--- a/src/main/java/yewdock/platform/ListSide.java
+++ b/src/main/java/yewdock/platform/ListSide.java
@@ -101,6 +101,11 @@
         // taken up by received, once the reader has let go of the bytes
     }
 
+    @Override
+    public void idle() {
+        // the desk keeps the times of the router's own connections
+    }
+
     @Override
     public void written(int bytes) {
         // nothing waits for it
--- a/src/main/java/yewdock/platform/Side.java
+++ b/src/main/java/yewdock/platform/Side.java
@@ -13,6 +13,9 @@
     /** All that was written up to some call of {@link Wire#write}, this many bytes of it, has left. */
     void written(int bytes);
 
+    /** Nothing has gone over the connection for a good while. */
+    void idle();
+
     /** The connection is closed, or could not be made. Comes once. */
     void down();
 }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -37,6 +37,7 @@
     private static final AttributeKey WIRE = new AttributeKey(Sockets.class, "wire");
     /** Clients beyond so many are closed on arrival: with the lines to boxes they fit the descriptors. */
     private static final int MOST_CLIENTS = Front.MOST_CLIENTS + 60;
+    private static final int IDLE_SECONDS = 75;
     private static final int BACKLOG = 512;
     private static final int LARGEST_READ = 16 * 1024;
     private static final long LAST_WRITES_MILLIS = 300;
@@ -226,6 +227,7 @@
                 if (acceptor.getManagedSessionCount() > MOST_CLIENTS) {
                     session.closeNow();
                 } else {
+                    session.getConfig().setBothIdleTime(IDLE_SECONDS);
                     queue.add(new Task(wire, () -> wire.side = front.accept(wire)));
                 }
             }
@@ -259,10 +261,11 @@
             queue.add(new Task(wire, () -> wire.side.written(bytes)));
         }
 
-        /** Only connections that are being closed gently have an idle time. */
+        /** Only clients' connections have an idle time. */
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
-            session.closeNow();
+            SessionWire wire = wire(session);
+            queue.add(new Task(wire, () -> wire.side.idle()));
         }
 
         @Override
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -155,6 +155,7 @@
                 client.side.up();
             }
             case "up" -> wire.side.up();
+            case "idle" -> wire.side.idle();
             case "down" -> wire.side.down();
             case "stuck" -> stuck.add(who);
             case "unstuck" -> {
