A fault in one effect no longer swallows the effects behind it

Seen by reading: an exception while performing an effect left Front.happened, and the effects behind it, among them other clients' answers, were never performed. Now each is performed by itself, a fault logged and counted; the desk's time-outs catch up with the connection it struck (fault-in-writing.txt).

--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -220,8 +220,9 @@
             StackTraceElement[] trace = e.getStackTrace();
             log("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
             Owed o = owed.get(step.request);
-            if (o != null) {
+            if (o != null && !o.over) {
                 failNow(o, Outcome.CANCELLED);
+                tell(o.id, () -> module.requestGone(now, o.id));
             }
         }
     }
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -72,13 +72,23 @@
         working = true;
         try {
             while (!waiting.isEmpty()) {
-                desk.reduce(waiting.poll(), clock.getAsLong()).forEach(this::perform);
+                desk.reduce(waiting.poll(), clock.getAsLong()).forEach(this::performSafely);
             }
         } finally {
             working = false;
         }
     }
 
+    /** A fault on one connection must not swallow the effects for the others; the desk's times catch up. */
+    private void performSafely(Effect effect) {
+        try {
+            perform(effect);
+        } catch (RuntimeException e) {
+            counters.add("faults");
+            log.accept("fault: " + e + " in " + effect.getClass().getSimpleName());
+        }
+    }
+
     private void perform(Effect effect) {
         if (effect instanceof Effect.PassOn e) {
             client(e.client(), c -> c.passOn(e.bytes()));
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -184,6 +184,9 @@
                 session.closeNow();
             } else if (connecting != null) {
                 connecting.cancel();
+            } else {
+                // The connecting itself failed in some unforeseen way: its side must still hear of the end.
+                queue.add(new Task(this, this::down));
             }
         }
 
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -155,6 +155,7 @@
                 client.side.up();
             }
             case "up" -> wire.side.up();
+            case "breaks" -> wire.broken = true;
             case "idle" -> wire.side.idle();
             case "down" -> wire.side.down();
             case "stuck" -> stuck.add(who);
@@ -219,6 +220,7 @@
         private final String name;
         private final List<Integer> unwritten = new ArrayList<>();
         private Side side;
+        private boolean broken;
 
         FakeWire(String name) {
             this.name = name;
@@ -227,6 +229,9 @@
 
         @Override
         public void write(ByteBuffer bytes) {
+            if (broken) {
+                throw new IllegalStateException("broken");
+            }
             String text = StandardCharsets.UTF_8.decode(bytes.duplicate()).toString();
             sent.computeIfAbsent(name, n -> new StringBuilder()).append(text);
             saw(name, "sent " + text.replace("x".repeat(70_000), "(70000)").replace("\r\n", "|")
