Leaving waits for a request that is half read

Seen by reading: 0.8 s after SIGTERM, with nothing owed, the router stopped even when a client was in the midst of sending a request, whose last byte would then have met a closed connection.

--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -248,8 +248,13 @@
         readOn();
     }
 
+    /** Whether a request is half read, or open. */
+    boolean midway() {
+        return busy || !closing && (!reader.untouched() || !ahead.isEmpty());
+    }
+
     void closeIfIdle() {
-        if (!busy && !closing && reader.untouched() && ahead.isEmpty()) {
+        if (!closing && !midway()) {
             closing = true;
             wire.closeAfterWriting();
         }
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -36,6 +36,7 @@
     private ListSide list;
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean working;
+    private boolean stopAsked;
     private long lastClient;
     private int coming;
     private boolean closing;
@@ -77,6 +78,11 @@
         } finally {
             working = false;
         }
+        // A request half read when the desk owes nothing would be lost by stopping now.
+        if (stopAsked && clients.values().stream().noneMatch(ClientSide::midway)) {
+            stopAsked = false;
+            wires.stop();
+        }
     }
 
     /** A fault on one connection must not swallow the effects for the others; the desk's times catch up. */
@@ -135,7 +141,7 @@
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.line());
         } else if (effect instanceof Effect.Stop) {
-            wires.stop();
+            stopAsked = true;
         }
     }
 
