Deadlines for silent and half-sent clients; quiet ones make room; twins turned down

Ruled out: memory (90 of 176 MB) and CPU (0.31 s in the worst second).

At fault: Sockets.sessionCreated closed the newcomer beyond 540 connections whatever the limit was, IDLE_SECONDS kept the others for 75 s, Front.MOST_CLIENTS and Desk.MOST_LINES were constants, and Desk.asked took a second request of an open id.

Now desk.Clients, a part of the reducer, keeps connections without an open request: 2.5 s for a request to be whole, 15 s of quiet or 2 s when short, and at the bound the longest quiet goes for each that comes. Bounds come from the configuration's limits. The transport accepts only when there is room, drops what comes behind a request that was turned down, and queues at most 4 MiB.

--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -47,9 +47,10 @@
             return 1;
         }
         Counters counters = new Counters();
-        Desk desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), counters,
+        Desk desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(),
+                config.bounds(), counters,
                 actions -> new BoundedLoadRouter(config.settings(), config.seed(), actions));
-        Sockets sockets = new Sockets();
+        Sockets sockets = new Sockets(config.bounds().clients());
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
         // The JVM ends when its hooks have: this one holds it until nothing is owed.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- /dev/null
+++ b/src/main/java/yewdock/desk/Clients.java
@@ -0,0 +1,133 @@
+package yewdock.desk;
+
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * The connections of clients, as a part of the reducer: which of them have no request open, for how long, and
+ * which must make room. A connection costs a descriptor whether or not anything is asked over it.
+ */
+final class Clients {
+    /** A request must be whole so long after its connection came, or after its first byte. */
+    static final long PATIENCE = 2_500_000;
+    /** A connection that is quiet between requests is kept for so long where there is room, */
+    static final long KEEP = 15_000_000;
+    /** and for so long where there is not. */
+    static final long KEEP_SHORT = 2_000_000;
+    /** There is room while no more than this part of the bound is taken. */
+    private static final int ROOMY_PART = 2;
+
+    private final int most;
+    private final LongSupplier now;
+    private final Timers timers;
+    private final Counters counters;
+    private final Consumer<Effect> effects;
+    private final Set<Long> all = new HashSet<>();
+    /** Those whose request has yet to come in whole, with the time from which it is counted: oldest first. */
+    private final Map<Long, Long> awaited = new LinkedHashMap<>();
+    /** Those that have had their answer and asked nothing since, with that time: longest quiet first. */
+    private final Map<Long, Long> quiet = new LinkedHashMap<>();
+    private long sweepAt = Long.MAX_VALUE;
+
+    Clients(int most, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects) {
+        this.most = most;
+        this.now = now;
+        this.timers = timers;
+        this.counters = counters;
+        this.effects = effects;
+    }
+
+    void came(long client) {
+        all.add(client);
+        awaited.put(client, now.getAsLong());
+        if (all.size() > most) {
+            makeRoom();
+        }
+        sweep();
+    }
+
+    /** The first byte of a request has come; for a connection's first, time has run since it was made. */
+    void began(long client) {
+        if (quiet.remove(client) != null) {
+            awaited.put(client, now.getAsLong());
+            sweep();
+        }
+    }
+
+    void asked(long client) {
+        awaited.remove(client);
+        quiet.remove(client);
+    }
+
+    void quiet(long client) {
+        awaited.remove(client);
+        if (all.contains(client)) {
+            quiet.put(client, now.getAsLong());
+            sweep();
+        }
+    }
+
+    void left(long client) {
+        all.remove(client);
+        awaited.remove(client);
+        quiet.remove(client);
+    }
+
+    int count() {
+        return all.size();
+    }
+
+    /**
+     * Guards the descriptors: one that is quiet between requests goes first, since its client asks again on a
+     * new connection if the close crosses its next request; then the one that has been silent longest.
+     */
+    private void makeRoom() {
+        Map<Long, Long> from = quiet.isEmpty() ? awaited : quiet;
+        if (!from.isEmpty()) {
+            counters.add("clients.closed_for_room");
+            close(from.keySet().iterator());
+        }
+    }
+
+    /** Closes what has been waited for long enough, and sets the timer for the next. */
+    private void sweep() {
+        long keep = all.size() > most / ROOMY_PART ? KEEP_SHORT : KEEP;
+        long next = Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
+                closeSince(quiet, keep, "clients.closed_quiet"));
+        if (next < sweepAt) {
+            sweepAt = next;
+            timers.at(next, () -> {
+                if (sweepAt == next) {
+                    sweepAt = Long.MAX_VALUE;
+                    sweep();
+                }
+            });
+        }
+    }
+
+    /** Closes those that are due; returns when the next one is. */
+    private long closeSince(Map<Long, Long> waiting, long patience, String counter) {
+        Iterator<Map.Entry<Long, Long>> entries = waiting.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<Long, Long> entry = entries.next();
+            if (entry.getValue() + patience > now.getAsLong()) {
+                return entry.getValue() + patience;
+            }
+            counters.add(counter);
+            entries.remove();
+            effects.accept(new Effect.CloseClient(entry.getKey()));
+        }
+        return Long.MAX_VALUE;
+    }
+
+    private void close(Iterator<Long> first) {
+        long client = first.next();
+        first.remove();
+        effects.accept(new Effect.CloseClient(client));
+    }
+}
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -21,10 +21,8 @@
  * of carrying it out.
  */
 public final class Desk {
-    /** Memory and descriptors are bounded: beyond these, requests are refused and lines not opened. */
-    static final int MOST_REQUESTS = 500;
-    static final int MOST_BYTES = 16 << 20;
-    static final int MOST_LINES = 400;
+    /** When this part of the lines is taken, idle ones are closed before others are opened. */
+    private static final double FULL_PART = 0.75;
     /** A line idle for this part of the keepalive is closed: a box closing it might cross a try. */
     private static final double KEEP_PART = 0.8;
     /** A stream silent for so long is taken for broken: its client counts as lost after 5 s. */
@@ -47,10 +45,14 @@
     private final long idleFor;
     private final Routing.Events module;
     private final Counters counters;
+    private final Bounds bounds;
     private final Timers timers = new Timers();
+    private final Clients clients;
     private final Map<Long, ModelBox> boxes = new HashMap<>();
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Map<Long, Owed> ofClient = new HashMap<>();
+    /** By the clients' own ids: two requests of one id must never be out together. */
+    private final Map<String, Owed> byName = new HashMap<>();
     private final Map<Long, Line> lines = new HashMap<>();
     private final Map<Long, Deque<Line>> idle = new HashMap<>();
     /** What the module is to be told, and what it has asked for: neither happens inside the other. */
@@ -76,6 +78,7 @@
     /** A request taken from a client, until it has its final answer and no try of it is out. */
     private static final class Owed {
         private final long id;
+        private final String name;
         private final long client;
         private final int size;
         private final long deadline;
@@ -87,8 +90,9 @@
         private int unsent;
         private long tookAt;
 
-        Owed(long id, long client, int size, long deadline) {
+        Owed(long id, String name, long client, int size, long deadline) {
             this.id = id;
+            this.name = name;
             this.client = client;
             this.size = size;
             this.deadline = deadline;
@@ -136,11 +140,14 @@
     }
 
     /** Makes the desk and, with the actions that it gives, the module. */
-    public Desk(long connectTimeout, long keepalive, Counters counters,
+    public Desk(long connectTimeout, long keepalive, Bounds bounds, Counters counters,
             Function<Routing.Actions, Routing.Events> makeModule) {
         this.connectTimeout = connectTimeout;
         this.idleFor = (long) (keepalive * KEEP_PART);
+        this.bounds = bounds;
         this.counters = counters;
+        this.clients = new Clients(bounds.clients(), () -> now, timers, counters,
+                effect -> effects.add(effect));
         this.module = makeModule.apply(new Collector());
     }
 
@@ -186,6 +193,12 @@
             lineUp(e);
         } else if (event instanceof Event.LineDown e) {
             lineDown(e);
+        } else if (event instanceof Event.ClientCame e) {
+            clients.came(e.client());
+        } else if (event instanceof Event.ClientBegan e) {
+            clients.began(e.client());
+        } else if (event instanceof Event.ClientQuiet e) {
+            clients.quiet(e.client());
         } else if (event instanceof Event.ClientLeft e) {
             clientLeft(e);
         } else if (event instanceof Event.Tick) {
@@ -293,15 +306,22 @@
 
     private void asked(Event.Asked e) {
         counters.add("requests.taken");
+        clients.asked(e.client());
         ModelRequest r = e.request();
-        if (owed.size() >= MOST_REQUESTS || heldBytes + r.size() > MOST_BYTES) {
+        if (byName.containsKey(r.id())) {
+            counters.add("answers.twin");
+            effects.add(new Effect.TurnDownTwin(e.client()));
+            return;
+        }
+        if (owed.size() >= bounds.requests() || heldBytes + r.size() > bounds.bytes()) {
             counters.add("answers.refused_for_room");
             effects.add(new Effect.Refuse(e.client(), 0));
             return;
         }
-        Owed o = new Owed(++lastRequest, e.client(), r.size(), now + r.patience());
+        Owed o = new Owed(++lastRequest, r.id(), e.client(), r.size(), now + r.patience());
         heldBytes += o.size;
         owed.put(o.id, o);
+        byName.put(o.name, o);
         ofClient.put(o.client, o);
         timers.at(o.deadline + ANSWER_SLACK, () -> overdue(o));
         tell(o.id, () -> module.requestArrived(now, new Routing.Request(o.id, r.requestClass(),
@@ -310,6 +330,7 @@
     }
 
     private void clientLeft(Event.ClientLeft e) {
+        clients.left(e.client());
         Owed o = ofClient.get(e.client());
         if (o != null) {
             counters.add(o.begun ? "answers.left_midway" : "answers.left_before");
@@ -370,6 +391,7 @@
     private void forgetIfDone(Owed o) {
         if (o.over && o.out == null) {
             owed.remove(o.id);
+            byName.remove(o.name);
         }
     }
 
@@ -400,7 +422,10 @@
         }
         Deque<Line> waiting = idle.get(box.id());
         Line line = waiting == null ? null : waiting.pollLast();
-        if (line == null && lines.size() >= MOST_LINES) {
+        if (line == null && lines.size() >= bounds.lines() * FULL_PART) {
+            closeLongestIdle();
+        }
+        if (line == null && lines.size() >= bounds.lines()) {
             counters.add("lines.no_room");
             ended(t, Outcome.CONNECT_FAILED, 0, null);
             return;
@@ -548,6 +573,22 @@
         }
     }
 
+    /** Lines that wait for tries must not keep a try from getting one. */
+    private void closeLongestIdle() {
+        Line longest = null;
+        for (Deque<Line> waiting : idle.values()) {
+            Line first = waiting.peekFirst();
+            if (first != null && (longest == null || first.idleSince < longest.idleSince)) {
+                longest = first;
+            }
+        }
+        if (longest != null) {
+            idle.get(longest.box.id()).removeFirst();
+            counters.add("lines.retired");
+            close(longest);
+        }
+    }
+
     private void rest(Line line) {
         line.idleSince = now;
         idle.computeIfAbsent(line.box.id(), id -> new ArrayDeque<>()).addLast(line);
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -48,6 +48,14 @@
     record HangUpList() implements Effect {
     }
 
+    /** Close the connection of a client that has no request open; half a request is answered as late. */
+    record CloseClient(long client) implements Effect {
+    }
+
+    /** Turn down a request that has the id of one that is open: that one is untouched. */
+    record TurnDownTwin(long client) implements Effect {
+    }
+
     /** Close the connections of clients that have no request open. */
     record CloseIdleClients() implements Effect {
     }
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -9,6 +9,18 @@
     record Started(BoxList known) implements Event {
     }
 
+    /** A client has connected. */
+    record ClientCame(long client) implements Event {
+    }
+
+    /** The first byte of a client's request has come. */
+    record ClientBegan(long client) implements Event {
+    }
+
+    /** A client has had its answer, and its connection stays. */
+    record ClientQuiet(long client) implements Event {
+    }
+
     /** A client's request has come in whole. */
     record Asked(long client, ModelRequest request) implements Event {
     }
--- a/src/main/java/yewdock/desk/ModelRequest.java
+++ b/src/main/java/yewdock/desk/ModelRequest.java
@@ -1,10 +1,11 @@
 package yewdock.desk;
 
 /**
- * What the desk needs to know of a client's request. session and sharedBeginning are 0 when absent;
- * patience is how long the client still waits for the first token; size is what it holds in memory.
+ * What the desk needs to know of a client's request. id is the client's own name for it; session and
+ * sharedBeginning are 0 when absent; patience is how long the client still waits for the first token; size is
+ * what it holds in memory.
  */
-public record ModelRequest(int requestClass, int municipality, boolean repeat, long session,
+public record ModelRequest(String id, int requestClass, int municipality, boolean repeat, long session,
         long sharedBeginning, double promptTokens, double beginningTokens, double mostTokens, long patience,
         int size) {
 }
--- a/src/main/java/yewdock/http/Head.java
+++ b/src/main/java/yewdock/http/Head.java
@@ -22,6 +22,11 @@
         return null;
     }
 
+    /** How many fields have this name. */
+    public int count(String name) {
+        return (int) fields.stream().filter(f -> f.name().equalsIgnoreCase(name)).count();
+    }
+
     /** Whether a comma-separated field holds this word. */
     public boolean says(String name, String word) {
         for (Field f : fields) {
--- a/src/main/java/yewdock/platform/ClientRequest.java
+++ b/src/main/java/yewdock/platform/ClientRequest.java
@@ -19,7 +19,7 @@
 
     /** What the desk needs to know; a header that is malformed or names nothing known is a bad request. */
     ModelRequest read(Names names) throws BadMessageException {
-        required("X-Correlation-Id");
+        String id = required("X-Correlation-Id");
         int requestClass = place(names.classes(), "X-Service-Class");
         int municipality = names.municipalities().isEmpty() ? 0 : place(names.municipalities(), "X-Account");
         double seconds = Numbers.decimal(required("X-Time-Left"));
@@ -27,7 +27,7 @@
             throw new BadMessageException(BAD, "X-Time-Left is malformed");
         }
         Map<String, String> facts = facts();
-        return new ModelRequest(requestClass, municipality, "1".equals(head.field("X-Repeat")),
+        return new ModelRequest(id, requestClass, municipality, "1".equals(head.field("X-Repeat")),
                 Ids.of(head.field("X-Session-Key")), Ids.of(facts.get("prefix")),
                 length(facts, "prompt_len"), length(facts, "prefix_len"), length(facts, "max_out"),
                 Math.max(0, Math.round(seconds * MICROS) - TRANSIT), body.length + OVERHEAD);
@@ -38,6 +38,10 @@
         if (value == null || value.isEmpty()) {
             throw new BadMessageException(BAD, name + " is missing");
         }
+        if (head.count(name) > 1) {
+            // a box may read another of them than this router
+            throw new BadMessageException(BAD, name + " is given twice");
+        }
         return value;
     }
 
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -68,9 +68,16 @@
         try {
             while (!busy && !closing && !ahead.isEmpty()) {
                 ByteBuffer next = ahead.peek();
+                boolean fresh = reader.untouched();
                 aheadBytes -= next.remaining();
-                reader.read(next);
-                aheadBytes += next.remaining();
+                try {
+                    reader.read(next);
+                } finally {
+                    aheadBytes += next.remaining();
+                    if (fresh && !reader.untouched()) {
+                        front.happened(new Event.ClientBegan(id));
+                    }
+                }
                 if (!next.hasRemaining()) {
                     ahead.poll();
                 }
@@ -81,10 +88,7 @@
             }
         } catch (BadMessageException e) {
             front.counters().add("requests.malformed");
-            forgetBody();
-            closing = true;
-            gently = true;
-            answer(e.status(), e.getMessage() + "\n", "");
+            turnDown(e.status(), e.getMessage());
         } catch (RuntimeException e) {
             // A fault of ours in reading one request must leave neither it nor the others unanswered.
             front.counters().add("faults");
@@ -95,6 +99,34 @@
         }
     }
 
+    /** What is behind a request that can't be read, or is turned down, must not be taken for another. */
+    private void turnDown(int status, String why) {
+        forgetBody();
+        ahead.clear();
+        aheadBytes = 0;
+        closing = true;
+        gently = true;
+        answer(status, why + "\n", "");
+    }
+
+    /** Two requests of one id at the boxes would be two copies out at once. */
+    void turnDownTwin() {
+        turnDown(409, "a request of this id is open");
+    }
+
+    /** The desk wants the connection back: no request is open. */
+    void giveUp() {
+        if (closing) {
+            wire.close();
+        } else if (reader.untouched()) {
+            closing = true;
+            wire.closeAfterWriting();
+        } else {
+            front.counters().add("requests.malformed");
+            turnDown(408, "the request did not come in time");
+        }
+    }
+
     @Override
     public void head(Head read) {
         head = read;
@@ -140,12 +172,6 @@
                 } else {
                     request = new ClientRequest(head, body.toByteArray());
                     forgetBody();
-                    if (front.crowded()) {
-                        front.counters().add("answers.refused_for_room");
-                        closing = true;
-                        refuse(0);
-                        return;
-                    }
                     front.happened(new Event.Asked(id, request.read(front.names())));
                 }
             }
@@ -245,6 +271,7 @@
             held = false;
             wire.hold(false);
         }
+        front.happened(new Event.ClientQuiet(id));
         readOn();
     }
 
@@ -271,10 +298,10 @@
         }
     }
 
-    /** A client that has gone quiet without leaving, or half-way through a request, holds a descriptor. */
+    /** The end of a gentle close. */
     @Override
     public void idle() {
-        if (closing || !busy) {
+        if (closing) {
             wire.close();
         }
     }
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -10,12 +10,18 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 import umberspread.Routing;
+import yewdock.desk.Bounds;
 import yewdock.desk.BoxList;
 
 /** What the router is told at its start. keepalive is in microseconds. */
 public record Config(String name, String listen, String discovery, long seed, long keepalive,
-        Routing.Settings settings, Names names, BoxList known) {
+        Routing.Settings settings, Names names, Bounds bounds, BoxList known) {
     private static final double MICROS = 1e6;
+    /** What a configuration without limits is taken to allow: the most that a router gets. */
+    private static final int SOCKETS = 1024;
+    private static final int MEMORY_MB = 192;
+    private static final int LEAST_SOCKETS = 128;
+    private static final int LEAST_MEMORY_MB = 32;
 
     /** Reads the configuration's text; throws IllegalArgumentException with one clear line. */
     public static Config read(String text, Consumer<String> log) {
@@ -58,9 +64,19 @@
         JSONObject known = all.optJSONObject("known");
         return new Config(all.getString("name"), all.getString("listen"), discovery,
                 Long.parseUnsignedLong(all.getString("seed"), 16), time(l, "keepalive"), settings, names,
+                bounds(all.optJSONObject("limits", new JSONObject())),
                 known == null ? BoxList.NOTHING : new BoxLists(names, log).read(known));
     }
 
+    private static Bounds bounds(JSONObject limits) {
+        int sockets = limits.optInt("sockets", SOCKETS);
+        int megabytes = limits.optInt("memory_mb", MEMORY_MB);
+        if (sockets < LEAST_SOCKETS || megabytes < LEAST_MEMORY_MB) {
+            throw new IllegalArgumentException("limits are too small: " + limits);
+        }
+        return Bounds.within(sockets, Math.min(megabytes, MEMORY_MB));
+    }
+
     private static List<Routing.RequestClass> classes(JSONObject s) {
         List<Routing.RequestClass> classes = new ArrayList<>();
         JSONObject domain = s.optJSONObject("domain", new JSONObject());
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -18,8 +18,6 @@
  * into bytes. Not thread-safe: one thread runs it, the desk and all sides.
  */
 public final class Front {
-    /** With more clients than this, requests are refused and connections closed. */
-    public static final int MOST_CLIENTS = 480;
     /** Bodies that are still coming in may hold this much together; the desk bounds those that are whole. */
     private static final int MOST_COMING = 8 << 20;
 
@@ -58,6 +56,7 @@
         counters.add("clients.accepted");
         ClientSide side = new ClientSide(this, ++lastClient, wire);
         clients.put(lastClient, side);
+        happened(new Event.ClientCame(lastClient));
         return side;
     }
 
@@ -135,6 +134,10 @@
                 list.hangUp();
                 list = null;
             }
+        } else if (effect instanceof Effect.CloseClient e) {
+            client(e.client(), ClientSide::giveUp);
+        } else if (effect instanceof Effect.TurnDownTwin e) {
+            client(e.client(), ClientSide::turnDownTwin);
         } else if (effect instanceof Effect.CloseIdleClients) {
             closing = true;
             List.copyOf(clients.values()).forEach(ClientSide::closeIfIdle);
@@ -181,10 +184,6 @@
         return coming <= MOST_COMING;
     }
 
-    boolean crowded() {
-        return clients.size() > MOST_CLIENTS;
-    }
-
     boolean ready() {
         return desk.ready();
     }
--- a/src/main/java/yewdock/platform/Statuses.java
+++ b/src/main/java/yewdock/platform/Statuses.java
@@ -11,6 +11,8 @@
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
+            case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 431 -> "Request Header Fields Too Large";
             case 500 -> "Internal Server Error";
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -13,7 +13,10 @@
     /** Closes when all has been written. */
     void closeAfterWriting();
 
-    /** Closes when the other side has, or after a second: closing on unread bytes could lose the answer. */
+    /**
+     * Closes when the other side has, or after a second, and drops what still comes until then: closing on
+     * unread bytes could lose the answer, and keeping them would let a client fill the memory.
+     */
     void closeGently();
 
     /** Stops reading, or goes on. */
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -3,21 +3,26 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.tinylog.Logger;
@@ -35,9 +40,13 @@
  */
 public final class Sockets implements Wires {
     private static final AttributeKey WIRE = new AttributeKey(Sockets.class, "wire");
-    /** Clients beyond so many are closed on arrival: with the lines to boxes they fit the descriptors. */
-    private static final int MOST_CLIENTS = Front.MOST_CLIENTS + 60;
-    private static final int IDLE_SECONDS = 75;
+    /**
+     * Clients beyond the desk's bound by more than this are not accepted: they wait until the desk has closed
+     * others. Out of descriptors, accepting fails and nobody is served.
+     */
+    private static final int CLOSING_CLIENTS = 24;
+    /** So many bytes may wait in the queue before no more is read: MINA reads faster than the desk. */
+    private static final int MOST_QUEUED = 4 << 20;
     private static final int BACKLOG = 512;
     private static final int LARGEST_READ = 16 * 1024;
     private static final long LAST_WRITES_MILLIS = 300;
@@ -51,6 +60,8 @@
     });
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
+    private final Semaphore room;
+    private final Semaphore queueRoom = new Semaphore(MOST_QUEUED);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Clock clock = new Clock();
     private volatile Front front;
@@ -59,10 +70,12 @@
     private record Task(SessionWire wire, Runnable work) {
     }
 
-    public Sockets() {
+    /** Sockets for so many clients at once. */
+    public Sockets(int mostClients) {
+        room = new Semaphore(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
         NioProcessor processor = new NioProcessor(threads);
-        acceptor = new NioSocketAcceptor(threads, processor);
+        acceptor = new BoundedAcceptor(threads, processor);
         connector = new NioSocketConnector(threads, processor);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
@@ -135,6 +148,8 @@
     }
 
     private void writeOut() {
+        // The acceptor's thread may be waiting for room.
+        room.release(Short.MAX_VALUE);
         acceptor.setCloseOnDeactivation(false);
         acceptor.unbind();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_WRITES_MILLIS);
@@ -147,6 +162,28 @@
         }
     }
 
+    /** Accepts a connection only when there is room for it; until then it waits in the system's queue. */
+    private final class BoundedAcceptor extends NioSocketAcceptor {
+        BoundedAcceptor(Executor threads, IoProcessor<NioSession> processor) {
+            super(threads, processor);
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listening)
+                throws Exception {
+            room.acquire();
+            NioSession session = null;
+            try {
+                session = super.accept(processor, listening);
+            } finally {
+                if (session == null) {
+                    room.release();
+                }
+            }
+            return session;
+        }
+    }
+
     @Override
     public <S extends Side> S connect(String address, Function<Wire, S> makeSide) {
         SessionWire wire = new SessionWire();
@@ -172,6 +209,7 @@
         private ConnectFuture connecting;
         private Side side;
         private boolean isDown;
+        private volatile boolean deaf;
 
         @Override
         public void write(ByteBuffer bytes) {
@@ -197,6 +235,7 @@
 
         @Override
         public void closeGently() {
+            deaf = true;
             session.getConfig().setWriterIdleTime(1);
         }
 
@@ -227,12 +266,8 @@
                 SessionWire wire = new SessionWire();
                 wire.session = session;
                 session.setAttribute(WIRE, wire);
-                if (acceptor.getManagedSessionCount() > MOST_CLIENTS) {
-                    session.closeNow();
-                } else {
-                    session.getConfig().setBothIdleTime(IDLE_SECONDS);
-                    queue.add(new Task(wire, () -> wire.side = front.accept(wire)));
-                }
+                session.getCloseFuture().addListener(closed -> room.release());
+                queue.add(new Task(wire, () -> wire.side = front.accept(wire)));
             }
         }
 
@@ -249,8 +284,14 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             SessionWire wire = wire(session);
+            if (wire.deaf) {
+                return;
+            }
             ByteBuffer bytes = ((IoBuffer) message).buf();
+            int size = bytes.remaining();
+            queueRoom.acquireUninterruptibly(size);
             queue.add(new Task(wire, () -> {
+                queueRoom.release(size);
                 if (wire.side != null && !wire.isDown) {
                     wire.side.received(bytes);
                 }
@@ -264,7 +305,7 @@
             queue.add(new Task(wire, () -> wire.side.written(bytes)));
         }
 
-        /** Only clients' connections have an idle time. */
+        /** Only a connection that is being closed gently has an idle time. */
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
             SessionWire wire = wire(session);
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import yewdock.desk.Bounds;
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
@@ -19,10 +20,11 @@
 class BoundsTest {
     private static final int MEGABYTE = 1 << 20;
     private final Counters counters = new Counters();
-    private final Desk desk = new Desk(250_000, 5_000_000, counters, InOrderModule::new);
+    private final Desk desk = new Desk(250_000, 5_000_000,
+            new Bounds(480, 400, 500, 16 * MEGABYTE), counters, InOrderModule::new);
 
     private List<Effect> ask(long client, int size) {
-        ModelRequest request = new ModelRequest(0, 0, false, 1, 1, 1, 0, 2, 9_000_000, size);
+        ModelRequest request = new ModelRequest("r" + client, 0, 0, false, 1, 1, 1, 0, 2, 9_000_000, size);
         return desk.reduce(new Event.Asked(client, request), 1_000);
     }
 
@@ -62,4 +64,33 @@
         assertTrue(told.get("c40").contains("503"), told.get("c40"));
         assertEquals(Set.of("c40"), told.keySet());
     }
+
+    /** Many quiet or silent connections must not keep a new client out: one goes for each that comes. */
+    @Test
+    void closesTheLongestQuietForNewcomers() {
+        Desk small = new Desk(250_000, 5_000_000, new Bounds(4, 4, 4, MEGABYTE), counters,
+                InOrderModule::new);
+        small.reduce(new Event.Started(BoxList.NOTHING), 0);
+        for (long client = 1; client <= 4; client++) {
+            assertEquals(List.of(), small.reduce(new Event.ClientCame(client), client));
+        }
+        small.reduce(new Event.ClientQuiet(3), 10);
+        small.reduce(new Event.Asked(1, new ModelRequest("a", 0, 0, false, 1, 1, 1, 0, 2, 9_000_000, 1)), 11);
+        assertEquals(List.of(new Effect.CloseClient(3)), small.reduce(new Event.ClientCame(5), 12));
+        assertEquals(List.of(new Effect.CloseClient(2)), small.reduce(new Event.ClientCame(6), 13));
+        small.reduce(new Event.ClientLeft(3), 14);
+        small.reduce(new Event.ClientLeft(2), 14);
+        small.reduce(new Event.ClientLeft(4), 14);
+        assertEquals(List.of(), small.reduce(new Event.ClientCame(7), 15));
+    }
+
+    /** All descriptors together stay under the limit, at each limit that a configuration may state. */
+    @Test
+    void fitsTheDescriptors() {
+        for (int descriptors = 256; descriptors <= 1024; descriptors++) {
+            Bounds bounds = Bounds.within(descriptors, 160);
+            assertTrue(bounds.clients() + bounds.lines() + 64 <= descriptors, bounds.toString());
+            assertTrue(bounds.requests() >= descriptors / 3, bounds.toString());
+        }
+    }
 }
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -49,8 +49,8 @@
 
     private Exchange() throws IOException {
         Config config = Config.read(Files.readString(FOLDER.resolve("config.json")), this::log);
-        desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), counters,
-                InOrderModule::new);
+        desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(),
+                config.bounds(), counters, InOrderModule::new);
         front = new Front(config, desk, counters, this, () -> START + micros, this::log);
         front.happened(new Event.Started(config.known()));
     }
