SIGHUP moves the list watch to the new address; box names and held requests let go

Now Signals takes SIGHUP (the one place that needs reflection, since sun.misc.Signal is a warning in any source), Main reads the file on the signal's thread, and the front hands the desk one event. ListWatch, now a class of its own within the reducer, drops the call and asks the new address for the whole list. What can't be taken live is logged.

Also: BoxLists.known kept the name of every box ever listed, and the module's queue of held requests kept answered ones until the next list; both let go now.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -1181,6 +1181,10 @@
     private void hold(Pending p, long now) {
         if (!p.held) {
             p.held = true;
+            // those answered meanwhile, which only the next list would clear out
+            while (!held.isEmpty() && held.peek().over) {
+                held.poll();
+            }
             held.add(p);
         }
         reviewAt(p, Math.min(now + p.request.patience() / HOLD_CHECKS, holdUntil(p)));
--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -9,9 +9,9 @@
 import umberspread.BoundedLoadRouter;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
-import yewdock.desk.Event;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
+import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
 
 /** The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire. */
@@ -38,10 +38,7 @@
         Consumer<String> log = line -> Logger.info("{}", line);
         Config config;
         try {
-            if (file == null) {
-                throw new IllegalArgumentException("PROXY_CONFIG is not set");
-            }
-            config = Config.read(Files.readString(Path.of(file)), log);
+            config = read(file, log);
         } catch (IOException | IllegalArgumentException e) {
             Logger.error("the configuration can't be read: {}", e.toString());
             return 1;
@@ -58,8 +55,22 @@
             Logger.info("counters at exit:\n{}", counters);
             shutLogger();
         }, "leave"));
+        // One after the other: of two SIGHUPs, the later one's file must come out on top.
+        Object turn = new Object();
+        boolean taken = Signals.onHangUp(() -> {
+            synchronized (turn) {
+                try {
+                    sockets.reconfigure(read(file, log));
+                } catch (IOException | IllegalArgumentException e) {
+                    Logger.warn("the new configuration can't be read, the old one stays: {}", e.toString());
+                }
+            }
+        });
+        if (!taken) {
+            Logger.warn("SIGHUP can't be taken here: a new configuration needs a restart");
+        }
         try {
-            sockets.serve(config.listen(), front, desk, new Event.Started(config.known()));
+            sockets.serve(config.listen(), front, desk);
         } catch (IOException e) {
             Logger.error("can't listen on {}: {}", config.listen(), e.getMessage());
             Runtime.getRuntime().halt(1);
@@ -67,6 +78,13 @@
         return 0;
     }
 
+    private static Config read(String file, Consumer<String> log) throws IOException {
+        if (file == null) {
+            throw new IllegalArgumentException("PROXY_CONFIG is not set");
+        }
+        return Config.read(Files.readString(Path.of(file)), log);
+    }
+
     private static void shutLogger() {
         try {
             ProviderRegistry.getLoggingProvider().shutdown();
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -34,9 +34,6 @@
     static final int FEW_UNSENT = 16 * 1024;
     /** If the module has given no final answer so long after the deadline, the desk does. */
     private static final long ANSWER_SLACK = 10_000;
-    /** How long a call for the list may wait for news, and how much longer the answer may take. */
-    static final long WATCH_WAIT = 4_000_000;
-    static final long LIST_PATIENCE = 2_500_000;
     /** After being told to leave: new connections still come for 0.4 s, and requests count for 0.7 s. */
     static final long LEAVE_IDLE_AFTER = 500_000;
     static final long LEAVE_AFTER = 800_000;
@@ -48,6 +45,7 @@
     private final Bounds bounds;
     private final Timers timers = new Timers();
     private final Clients clients;
+    private final ListWatch watch;
     private final Map<Long, ModelBox> boxes = new HashMap<>();
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Map<Long, Owed> ofClient = new HashMap<>();
@@ -63,10 +61,6 @@
     private long lastRequest;
     private long lastLine;
     private int heldBytes;
-    private long listVersion = -1;
-    private long listCall;
-    private boolean listCallOut;
-    private boolean listAsked;
     private boolean leaving;
     private long leaveAt;
     private boolean stopped;
@@ -148,6 +142,8 @@
         this.counters = counters;
         this.clients = new Clients(bounds.clients(), () -> now, timers, counters,
                 effect -> effects.add(effect));
+        this.watch = new ListWatch(() -> now, timers, counters, effect -> effects.add(effect),
+                this::listFailed);
         this.module = makeModule.apply(new Collector());
     }
 
@@ -210,7 +206,9 @@
         } else if (event instanceof Event.ListFailed) {
             listFailed();
         } else if (event instanceof Event.Started e) {
-            started(e.known());
+            started(e);
+        } else if (event instanceof Event.ListMoved e) {
+            watch.move(e.address());
         } else if (event instanceof Event.Leave) {
             leave();
         }
@@ -284,7 +282,7 @@
 
         @Override
         public void followList() {
-            askings.add(new Step(0, Desk.this::followList));
+            askings.add(new Step(0, watch::follow));
         }
 
         @Override
@@ -688,8 +686,9 @@
 
     // ---- the box list
 
-    private void started(BoxList known) {
-        listVersion = known.version();
+    private void started(Event.Started e) {
+        BoxList known = e.known();
+        watch.begin(e.listAddress(), known.version());
         for (ModelBox box : known.boxes()) {
             boxes.put(box.id(), box);
         }
@@ -697,57 +696,29 @@
         tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(known)));
     }
 
-    private void followList() {
-        listAsked = true;
-        if (!listCallOut) {
-            askList(0);
-        }
-    }
-
-    /** A watch goes on only if its next call comes within 200 ms of the last answer: it is made at once. */
-    private void askList(long wait) {
-        listCallOut = true;
-        long call = ++listCall;
-        counters.add("list.calls");
-        effects.add(new Effect.AskList(listVersion, wait));
-        timers.at(now + wait + LIST_PATIENCE, () -> {
-            if (listCallOut && listCall == call) {
-                effects.add(new Effect.HangUpList());
-                listFailed();
-            }
-        });
-    }
-
     private void listCame(BoxList list) {
-        listCallOut = false;
-        listVersion = list.version();
-        counters.add("list.answers");
         if (list.full()) {
             Set<Long> named = new HashSet<>();
             list.boxes().forEach(box -> named.add(box.id()));
             boxes.keySet().removeIf(id -> !named.contains(id));
         }
         for (ModelBox box : list.boxes()) {
-            if (box.replica().lifecycle() == Routing.Lifecycle.GONE) {
+            if (box.isGone()) {
                 boxes.remove(box.id());
             } else {
                 boxes.put(box.id(), box);
             }
         }
         closeIdleToLeavers();
-        if (listAsked || list.full() || !list.boxes().isEmpty()) {
-            listAsked = false;
+        if (watch.came(list)) {
             tell(0, () -> module.listReceived(now, list.full() ? ListKind.FULL : ListKind.DELTA,
                     replicas(list)));
         }
-        askList(WATCH_WAIT);
     }
 
     /** The module decides when to call again: it backs off while the service is down. */
     private void listFailed() {
-        listCallOut = false;
-        listAsked = false;
-        counters.add("list.failures");
+        watch.failed();
         tell(0, () -> module.listReceived(now, ListKind.FAILED, List.of()));
     }
 
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -40,8 +40,8 @@
     record Fail(long client) implements Effect {
     }
 
-    /** Call for what is newer than this version, waiting so long for it; -1: for the whole list. */
-    record AskList(long since, long longest) implements Effect {
+    /** Call there for what is newer than this version, waiting so long for it; -1: for the whole list. */
+    record AskList(String address, long since, long longest) implements Effect {
     }
 
     /** Give up the call for the list. */
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -5,8 +5,12 @@
 
 /** All that can happen to the desk. Clients and lines to boxes go by numbers. */
 public sealed interface Event {
-    /** The router is up; this is the list as it was last held. */
-    record Started(BoxList known) implements Event {
+    /** The router is up; this is the list as it was last held, and where news of it is to be had. */
+    record Started(BoxList known, String listAddress) implements Event {
+    }
+
+    /** A new configuration says that the list is to be had here. */
+    record ListMoved(String address) implements Event {
     }
 
     /** A client has connected. */
--- a/src/main/java/yewdock/desk/ModelBox.java
+++ b/src/main/java/yewdock/desk/ModelBox.java
@@ -8,6 +8,11 @@
         return replica.id();
     }
 
+    /** Whether the line only says that the box has left the list. */
+    public boolean isGone() {
+        return replica.lifecycle() == Routing.Lifecycle.GONE;
+    }
+
     boolean takesWork() {
         return replica.lifecycle() == Routing.Lifecycle.READY;
     }
--- a/src/main/java/yewdock/platform/BoxLists.java
+++ b/src/main/java/yewdock/platform/BoxLists.java
@@ -49,7 +49,13 @@
                 log.accept("box list entry " + i + " skipped: " + e.getMessage());
             }
         }
-        return new BoxList(list.getLong("version"), list.getBoolean("full"), boxes);
+        boolean full = list.getBoolean("full");
+        // Boxes come and go for as long as the router runs: the names of those that are gone must not stay.
+        Set<String> kept = new HashSet<>();
+        Set<String> gone = new HashSet<>();
+        boxes.forEach(box -> (box.isGone() ? gone : kept).add(box.name()));
+        known.values().removeIf(name -> gone.contains(name) || full && !kept.contains(name));
+        return new BoxList(list.getLong("version"), full, boxes);
     }
 
     private ModelBox box(JSONObject entry) {
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -68,6 +68,24 @@
                 known == null ? BoxList.NOTHING : new BoxLists(names, log).read(known));
     }
 
+    /** Names what in the next configuration differs from this one and counts only from a start on. */
+    List<String> startsAnew(Config next) {
+        List<String> waits = new ArrayList<>();
+        differs("name", name, next.name, waits);
+        differs("listen", listen, next.listen, waits);
+        differs("limits", bounds, next.bounds, waits);
+        differs("keepalive", keepalive, next.keepalive, waits);
+        differs("settings", settings, next.settings, waits);
+        differs("names in settings", names, next.names, waits);
+        return waits;
+    }
+
+    private static void differs(String what, Object one, Object other, List<String> found) {
+        if (!one.equals(other)) {
+            found.add(what);
+        }
+    }
+
     private static Bounds bounds(JSONObject limits) {
         int sockets = limits.optInt("sockets", SOCKETS);
         int megabytes = limits.optInt("memory_mb", MEMORY_MB);
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -22,11 +22,11 @@
     private static final int MOST_COMING = 8 << 20;
 
     private final Desk desk;
+    private Config config;
     private final Counters counters;
     private final Wires wires;
     private final BoxLists lists;
     private final Names names;
-    private final String discovery;
     private final LongSupplier clock;
     private final Consumer<String> log;
     private final Map<Long, ClientSide> clients = new LinkedHashMap<>();
@@ -46,11 +46,25 @@
         this.wires = wires;
         this.names = config.names();
         this.lists = new BoxLists(names, log);
-        this.discovery = config.discovery();
+        this.config = config;
         this.clock = clock;
         this.log = log;
     }
 
+    /** The first event: the configuration tells what is known. */
+    public void start() {
+        happened(new Event.Started(config.known(), config.discovery()));
+    }
+
+    /** A new configuration: what can be taken while requests are open is, the rest is named in the log. */
+    public void reconfigure(Config next) {
+        List<String> waits = config.startsAnew(next);
+        log.accept("new configuration: the box list is at " + next.discovery()
+                + (waits.isEmpty() ? "" : "; not taken before a restart: " + String.join(", ", waits)));
+        config = next;
+        happened(new Event.ListMoved(next.discovery()));
+    }
+
     /** A client has connected. */
     public Side accept(Wire wire) {
         counters.add("clients.accepted");
@@ -157,7 +171,7 @@
 
     private void askList(Effect.AskList e) {
         if (list == null) {
-            list = wires.connect(discovery, wire -> new ListSide(this, lists, discovery, wire));
+            list = wires.connect(e.address(), wire -> new ListSide(this, lists, e.address(), wire));
         }
         list.ask(e.since(), e.longest());
     }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -29,6 +29,7 @@
 import yewdock.desk.Desk;
 import yewdock.desk.Event;
 import yewdock.platform.Addresses;
+import yewdock.platform.Config;
 import yewdock.platform.Front;
 import yewdock.platform.Side;
 import yewdock.platform.Wire;
@@ -97,9 +98,9 @@
     }
 
     /** Listens, and serves until told to stop. */
-    public void serve(String address, Front front, Desk desk, Event first) throws IOException {
+    public void serve(String address, Front front, Desk desk) throws IOException {
         this.front = front;
-        front.happened(first);
+        front.start();
         acceptor.bind(Addresses.of(address));
         Logger.info("listens on {}", acceptor.getLocalAddress());
         while (!stopped) {
@@ -132,6 +133,11 @@
         }
     }
 
+    /** Hands a new configuration to the front; any thread may call it. */
+    public void reconfigure(Config config) {
+        queue.add(new Task(null, () -> front.reconfigure(config)));
+    }
+
     /** Tells the desk to leave, and waits until nothing is owed any more. */
     public void leave() {
         queue.add(new Task(null, () -> front.happened(new Event.Leave())));
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -31,7 +31,7 @@
     /** The requests are for 2 tokens, so the module leaves them all open. */
     @Test
     void refusesBeyondItsMemoryAndTakesAgainWhenThereIsRoom() {
-        desk.reduce(new Event.Started(BoxList.NOTHING), 0);
+        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
         for (int client = 1; client <= 16; client++) {
             assertEquals(List.of(), ask(client, MEGABYTE));
         }
@@ -42,7 +42,7 @@
 
     @Test
     void refusesBeyondItsNumberOfRequests() {
-        desk.reduce(new Event.Started(BoxList.NOTHING), 0);
+        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
         IntStream.rangeClosed(1, 500).forEach(client -> assertEquals(List.of(), ask(client, 1)));
         assertEquals(List.of(new Effect.Refuse(501, 0)), ask(501, 1));
         assertEquals(1, counters.get("answers.refused_for_room"));
@@ -70,7 +70,7 @@
     void closesTheLongestQuietForNewcomers() {
         Desk small = new Desk(250_000, 5_000_000, new Bounds(4, 4, 4, MEGABYTE), counters,
                 InOrderModule::new);
-        small.reduce(new Event.Started(BoxList.NOTHING), 0);
+        small.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
         for (long client = 1; client <= 4; client++) {
             assertEquals(List.of(), small.reduce(new Event.ClientCame(client), client));
         }
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -52,7 +52,7 @@
         desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(),
                 config.bounds(), counters, InOrderModule::new);
         front = new Front(config, desk, counters, this, () -> START + micros, this::log);
-        front.happened(new Event.Started(config.known()));
+        front.start();
     }
 
     /** The file's lines with all names replaced. */
@@ -136,7 +136,14 @@
         return all.toString();
     }
 
-    private void input(String line, int cut) {
+    /** The configuration with "this=that" replaced in its text. */
+    private Config reconfigured(String change) throws IOException {
+        String[] parts = change.split("=");
+        return Config.read(Files.readString(FOLDER.resolve("config.json")).replace(parts[0], parts[1]),
+                this::log);
+    }
+
+    private void input(String line, int cut) throws IOException {
         String[] parts = line.split(" ", 5);
         long time = Long.parseLong(parts[1]) * 1000;
         while (desk.nextDue() <= START + time) {
@@ -163,6 +170,7 @@
                 stuck.remove(who);
                 wire.writeOut();
             }
+            case "reconfigures" -> front.reconfigure(reconfigured(parts[4]));
             case "leaves" -> front.happened(new Event.Leave());
             case "passes" -> { }
             case "sends" -> {
@@ -203,7 +211,7 @@
 
     @Override
     public <S extends Side> S connect(String address, Function<Wire, S> makeSide) {
-        boolean toList = address.endsWith(":8500");
+        boolean toList = address.endsWith(":8500") || address.endsWith(":8501");
         FakeWire wire = new FakeWire(toList ? "list" + ++lists : "line" + ++lines);
         saw(wire.name, "connects " + address);
         S side = makeSide.apply(wire);
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -88,6 +88,46 @@
         }
     }
 
+    /** SIGHUP must not end it: a bad file changes nothing, a good one moves the watch. */
+    @Test
+    void takesNewConfigurationsAtSighup() throws Exception {
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket list = new ServerSocket(0, 50, local);
+                ServerSocket next = new ServerSocket(0, 50, local)) {
+            String config = Files.readString(Exchange.FOLDER.resolve("config.json"))
+                    .replace("127.0.0.1:8000", "127.0.0.1:0");
+            Process router = start(config.replace("127.0.0.1:8500", at(list)));
+            BufferedReader log = router.inputReader();
+            readUntil(log, "listens on");
+            Files.writeString(folder.resolve("config.json"), "{");
+            hangUp(router);
+            readUntil(log, "the old one stays");
+            Files.writeString(folder.resolve("config.json"), config.replace("127.0.0.1:8500", at(next)));
+            hangUp(router);
+            hangUp(router);
+            try (Socket asked = next.accept()) {
+                assertEquals("GET /v1/endpoints HTTP/1.1", new BufferedReader(new InputStreamReader(
+                        asked.getInputStream(), StandardCharsets.US_ASCII)).readLine());
+                hangUp(router);
+                router.toHandle().destroy();
+                assertTrue(router.waitFor(30, TimeUnit.SECONDS));
+            }
+            String rest = log.lines().reduce("", (a, b) -> a + b + "\n");
+            assertTrue(rest.contains("counters at exit"), rest);
+        }
+    }
+
+    private static void readUntil(BufferedReader log, String words) throws IOException {
+        String line = log.readLine();
+        while (!line.contains(words)) {
+            line = log.readLine();
+        }
+    }
+
+    private static void hangUp(Process router) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(router.pid())).start().waitFor());
+    }
+
     /** Closing on bytes that were never read would reset the connection and could take the answer along. */
     private static void assertOversizedIsAnswered(InetAddress local, int port) throws IOException {
         try (Socket client = new Socket(local, port)) {
