Spoilt answers are told early; a second answer is not taken for the next try's

A chunk of up to 268 MB was read on; 1xx answers had no bound; a line at rest took the next try at once, and bytes of a second answer behind the first then passed for the next answer. Ruled out: load reports that can't be read, which were already left aside.

At fault: MessageReader.lineRead and chunk, BoxSide.received, Desk.start, and lineDown, where a spoilt answer counted as RESET and left the whole box out.

Now a first line, a chunk's size and its end are judged byte by byte; an answer that has begun and brings no event within 0.5 s is spoilt; spoilt is ERROR, not RESET; lines rest 50 ms, and what comes before a try is written is not its answer. Requests with bare LF, a lone CR, or two lengths are turned down.

--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -27,6 +28,10 @@
     private static final double KEEP_PART = 0.8;
     /** A stream silent for so long is taken for broken: its client counts as lost after 5 s. */
     static final long SILENCE = 4_500_000;
+    /** A stream must have begun so long after its head's first byte: else it is spoilt. */
+    static final long OPENING = 500_000;
+    /** A line takes another try only so long after its last: a second answer may come right after one. */
+    static final long SETTLE = 50_000;
     /** A client that takes nothing for so long is cut off, for its stream holds a box's line. */
     static final long STALL = 30_000_000;
     /** So much may wait for a slow client before its box is no longer read; at so little it goes on. */
@@ -183,6 +188,10 @@
             asked(e);
         } else if (event instanceof Event.Answered e) {
             answered(e);
+        } else if (event instanceof Event.AnswerBegan e) {
+            answerBegan(e);
+        } else if (event instanceof Event.AnswerSpoilt e) {
+            answerSpoilt(e);
         } else if (event instanceof Event.TrySent e) {
             trySent(e);
         } else if (event instanceof Event.LineUp e) {
@@ -419,7 +428,7 @@
             return;
         }
         Deque<Line> waiting = idle.get(box.id());
-        Line line = waiting == null ? null : waiting.pollLast();
+        Line line = waiting == null ? null : settled(waiting);
         if (line == null && lines.size() >= bounds.lines() * FULL_PART) {
             closeLongestIdle();
         }
@@ -571,6 +580,19 @@
         }
     }
 
+    /** Takes the line that has rested least, but long enough: what still came over it has come by now. */
+    private Line settled(Deque<Line> waiting) {
+        Iterator<Line> youngestFirst = waiting.descendingIterator();
+        while (youngestFirst.hasNext()) {
+            Line line = youngestFirst.next();
+            if (now - line.idleSince >= SETTLE) {
+                youngestFirst.remove();
+                return line;
+            }
+        }
+        return null;
+    }
+
     /** Lines that wait for tries must not keep a try from getting one. */
     private void closeLongestIdle() {
         Line longest = null;
@@ -601,6 +623,44 @@
 
     // ---- streams
 
+    /** An answer's head and first event come together: one that stops in between never comes whole. */
+    private void answerBegan(Event.AnswerBegan e) {
+        Line line = lines.get(e.line());
+        Try t = line == null ? null : line.current;
+        if (t != null && t.closingAs == null) {
+            timers.at(now + OPENING, () -> {
+                if (t.line == line && line.current == t && !t.begun && t.closingAs == null) {
+                    counters.add("streams.unopened");
+                    hangUp(t, Outcome.ERROR);
+                }
+            });
+        }
+    }
+
+    /**
+     * The try has failed and may have run: the box took it and answered, so it is neither refused nor broken
+     * off, which would speak against the box as a whole.
+     */
+    private void answerSpoilt(Event.AnswerSpoilt e) {
+        Line line = lines.get(e.line());
+        if (line == null) {
+            return;
+        }
+        Try t = line.current;
+        if (t != null && t.begun && !t.owed.over) {
+            // the client's connection ends now; the line's may take its time
+            failNow(t.owed, Outcome.ERROR);
+        } else if (t != null && t.written) {
+            hangUp(t, Outcome.ERROR);
+        }
+        // What was never written never ran: LineDown comes behind the news of the last byte, and tells.
+        Deque<Line> waiting = idle.get(line.box.id());
+        if (waiting != null) {
+            waiting.remove(line);
+        }
+        close(line);
+    }
+
     private void piece(Event.Piece e) {
         Line line = lines.get(e.line());
         Try t = line == null ? null : line.current;
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -49,6 +49,14 @@
     record TrySent(long line) implements Event {
     }
 
+    /** An answer has begun to come, and neither it nor its first event is whole yet. */
+    record AnswerBegan(long line) implements Event {
+    }
+
+    /** What came over a line can't be read: the rest of it is of no use. */
+    record AnswerSpoilt(long line) implements Event {
+    }
+
     /** A piece of a box's stream. */
     record Piece(long line, ByteBuffer bytes) implements Event {
     }
--- a/src/main/java/yewdock/http/MessageReader.java
+++ b/src/main/java/yewdock/http/MessageReader.java
@@ -13,6 +13,9 @@
 public final class MessageReader {
     public static final int MOST_HEAD = 32 * 1024;
     public static final int MOST_BODY = 256 * 1024;
+    /** A line that gives a chunk's size, with what may stand behind the size. */
+    private static final int MOST_SIZE_LINE = 256;
+    private static final String START = "HTTP/1.";
 
     /** Which side's messages come. */
     public enum Kind { REQUEST, ANSWER }
@@ -104,6 +107,9 @@
             if (b == '\n') {
                 if (lineLength > 0 && line[lineLength - 1] == '\r') {
                     lineLength--;
+                } else if (kind == Kind.REQUEST) {
+                    // others may read the same bytes as other lines, and so as another request
+                    throw new BadMessageException(400, "a line ends without CR");
                 }
                 return true;
             }
@@ -111,10 +117,26 @@
                 line = Arrays.copyOf(line, line.length * 2);
             }
             line[lineLength++] = b;
+            unfit(b);
         }
         return false;
     }
 
+    /** What can't become a line that fits is told at once: its sender may send no more, nor close. */
+    private void unfit(byte last) throws BadMessageException {
+        if (state == State.HEAD && kind == Kind.ANSWER && lines.isEmpty() && lineLength <= START.length()
+                && last != START.charAt(lineLength - 1) && !(lineLength == 1 && last == '\r')) {
+            throw new BadMessageException(400, "the first line is malformed");
+        }
+        if (state == State.CHUNK_END && !(lineLength == 1 && last == '\r')) {
+            throw new BadMessageException(400, "a chunk is longer than it said");
+        }
+        if (state == State.CHUNK_SIZE && (lineLength > MOST_SIZE_LINE
+                || lineLength == 1 && Character.digit(last, 16) < 0)) {
+            throw new BadMessageException(400, "a chunk's size is malformed");
+        }
+    }
+
     private void took(String text) throws BadMessageException {
         switch (state) {
             case HEAD -> {
@@ -154,12 +176,16 @@
             if (colon <= 0 || !row.substring(0, colon).matches("[!#-'*+.^-z|~0-9A-Z-]+")) {
                 throw new BadMessageException(400, "a header line is malformed");
             }
+            if (request && row.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
+                // a lone CR is a line's end to some readers
+                throw new BadMessageException(400, "a header line is malformed");
+            }
             fields.add(new Head.Field(row.substring(0, colon), row.substring(colon + 1).strip()));
         }
         Head head = new Head(start[0], start[1], start.length > 2 ? start[2] : "", fields);
         lines.clear();
         if (!request && head.status() < 200) {
-            headLength = 0;
+            // the answer is yet to come; all heads before it together have the bound of one
             return;
         }
         frame(head);
@@ -170,7 +196,8 @@
         List<String> lengths = head.fields().stream().filter(f -> f.name().equalsIgnoreCase("Content-Length"))
                 .map(Head.Field::value).toList();
         String coding = head.field("Transfer-Encoding");
-        if (coding != null && !lengths.isEmpty() || lengths.stream().distinct().count() > 1) {
+        if (coding != null && !lengths.isEmpty() || lengths.size() > 1
+                || head.count("Transfer-Encoding") > 1) {
             throw new BadMessageException(400, "the body's length is given in two ways");
         }
         if (coding != null && !coding.equalsIgnoreCase("chunked")) {
@@ -206,6 +233,9 @@
         }
         headLength = 0;
         left = Integer.parseInt(size, 16);
+        if (left > MOST_BODY) {
+            throw new BadMessageException(413, "a chunk is over " + MOST_BODY + " bytes");
+        }
         grow(left);
         state = left == 0 ? State.TRAILERS : State.CHUNK;
     }
--- a/src/main/java/yewdock/platform/BoxSide.java
+++ b/src/main/java/yewdock/platform/BoxSide.java
@@ -27,6 +27,11 @@
     private final MessageReader reader = new MessageReader(MessageReader.Kind.ANSWER, this);
     private final EventLines events = new EventLines(this::eventLine);
     private boolean busy;
+    /** Whether the answer has begun to come, and whether a part of its body has. */
+    private boolean coming;
+    private boolean flowing;
+    /** Whether the line has brought an answer before. */
+    private boolean used;
     private int toWrite;
     private Head head;
     private LoadReport report;
@@ -61,6 +66,8 @@
         ByteBuffer all = ByteBuffer.allocate(start.length + request.body().length);
         all.put(start).put(request.body()).flip();
         busy = true;
+        coming = false;
+        flowing = false;
         head = null;
         report = null;
         kept = 0;
@@ -88,7 +95,8 @@
         }
         try {
             while (bytes.hasRemaining()) {
-                if (!busy) {
+                // Also before a try is written: it belongs to the one before, and would pass for this one's.
+                if (!busy || used && toWrite > 0) {
                     throw new BadMessageException(502, "an answer that nobody asked for");
                 }
                 reader.read(bytes);
@@ -97,9 +105,14 @@
                     whole(!bytes.hasRemaining());
                 }
             }
+            if (busy && !flowing && !coming && !reader.untouched()) {
+                coming = true;
+                front.happened(new Event.AnswerBegan(line));
+            }
         } catch (BadMessageException e) {
             front.counters().add("boxes.malformed_answers");
-            close();
+            gone = true;
+            front.happened(new Event.AnswerSpoilt(line));
         }
     }
 
@@ -111,6 +124,7 @@
 
     @Override
     public void body(ByteBuffer piece) {
+        flowing = true;
         if (head.status() == 200) {
             events.read(piece);
             front.happened(new Event.Piece(line, piece));
@@ -124,6 +138,7 @@
 
     private void whole(boolean clean) {
         busy = false;
+        used = true;
         Outcome outcome = switch (head.status()) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(head.field("X-Unprocessed")) ? Outcome.FULL : Outcome.ERROR;
