A request whose box is slow spills to a free one while at most half of them are slow

Of 712 requests given up, 693 were refused because their ring replica was slow, 683 of them while a free one stood by; most of those replicas had 0 to 4 streams open and no overdue one left, and were slow only because a jam lies up to twice its length back.

At fault: dispatch spills only what worthASpill allows, and readRate, learnt from whole first-token times, made a prompt look 0.2 to 0.4 s dear to read. Now any request may spill while at most half of its pool is slow; beyond that the old rule holds, so that a jam is not spread.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -78,6 +78,8 @@
     private static final double WORTH_WEIGHT = 0.01;
     /** An attempt is overdue when its first token has not come within this part of the aim. */
     private static final int OVERDUE_PART = 5;
+    /** Requests spill from a slow replica, whatever they are worth, while at most this part is slow. */
+    private static final double MOST_SLOW = 0.5;
     /** A request of more than average worth bears this part of its own aim at a replica that is slow. */
     private static final int BEARABLE_PART = 3;
     /** A replica that was overdue is slow for this many times as long as its first token took. */
@@ -631,6 +633,18 @@
         return readTime(p) * averageWorth < CHEAP_READ * p.type.aim() * p.worth;
     }
 
+    /**
+     * Against refusals while others stand free: a replica counts as slow for a while after its jam is over.
+     * Where only few are, a spill costs a read and no more; where many are, it would spread the jam.
+     */
+    private boolean roomy(Pending p, long now) {
+        int slow = 0;
+        for (Node n : p.pool.members) {
+            slow += n.overdue > 0 || n.slowUntil > now ? 1 : 0;
+        }
+        return slow <= p.pool.ready * MOST_SLOW;
+    }
+
     private double readTime(Pending p) {
         return p.request.promptTokens() / readRate;
     }
@@ -828,7 +842,7 @@
             n = firstFree(p, now);
         }
         if (n != null && slow(p, n, now) && p.attempts.isEmpty() && mayRefuse(p)) {
-            n = worthASpill(p) ? freeReplica(p, now) : null;
+            n = worthASpill(p) || roomy(p, now) ? freeReplica(p, now) : null;
             if (n == null) {
                 giveFinalAnswer(p);
                 return;
