A box is left alone after a late first token for as long as that took, not twice as long

Checked: the module's beliefs at each refusal beside its own open streams: typically five of nine boxes were slow with no overdue try at all and 0 to 2 streams open, one of them for 9.4 s after a single answer that took 4.95 s. Ruled out: coldness (the contract says 1 s, all were warm), ejections and rests (none in force), the clock against the list's started_ms.

At fault: notOverdue, which set slowUntil to twice the delay (REST = 2); now once.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -83,7 +83,7 @@
     /** A request of more than average worth bears this part of its own aim at a replica that is slow. */
     private static final int BEARABLE_PART = 3;
     /** A replica that was overdue is slow for this many times as long as its first token took. */
-    private static final int REST = 2;
+    private static final int REST = 1;
     /** A tenant's share is metered over this many of the shortest aim. */
     private static final double METER_AIMS = 5;
     /** A cold replica is empty too: it gets this part of what would fell it, were the rest at capacity. */
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -698,6 +698,21 @@
         assertEquals(List.of(), f.refused);
     }
 
+    @Test
+    void aLateReplicaIsLeftAloneForAsLongAsItsFirstTokenTookAndNoLonger() {
+        Fixture f = fixture(4);
+        long id = f.arrive(1, 0);
+        long late = f.lastReplica();
+        f.pass(SECOND / 2);
+        f.serve(id, 0);
+        f.pass(SECOND * 2 / 5);
+        f.serve(f.arrive(1, 0), 0);
+        assertNotEquals(late, f.lastReplica());
+        f.pass(SECOND / 5);
+        f.serve(f.arrive(1, 0), 0);
+        assertEquals(late, f.lastReplica());
+    }
+
     @Test
     void whereMostHangWhatIsDearToReadElsewhereIsRefusedAtOnce() {
         Fixture f = fixture(4);
