--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,42 @@
+# The operator's own settings, for `yewdock daemon`. Every key is here with its default; what is left out keeps
+# it. The platform's `serve` reads none of this.
+
+daemon {
+  # The platform's configuration: addresses, limits, settings. Read by each generation at its start, and by the
+  # one that serves at SIGHUP.
+  config = "deploy/local.json"
+
+  # The folder of the control socket, made with access for its owner only. Socket names hold at most 107 bytes.
+  control = "run"
+
+  # The class path of a generation; "" is the daemon's own. `upgrade --program FILE` changes it while it runs.
+  program = ""
+
+  # Flags of a generation's JVM.
+  java = ["-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx80m"]
+}
+
+upgrade {
+  # How long each stage may take, in seconds, 0.1 to 600; past it the new generation is given up. Requests
+  # that come between share and go wait for the new one: these two bound how long.
+  start_s  = 20
+  check_s  = 10
+  state_s  = 5
+  ready_s  = 10
+  take_s   = 5
+  share_s  = 1
+  go_s     = 1
+  let_go_s = 2
+
+  # How long an old generation may finish the streams it has, in seconds, 1 to 86400. What is still open then
+  # is ended.
+  finish_s = 600
+
+  # So many old generations may be finishing at once, 1 to 64; each is a process with its memory.
+  most_finishing = 4
+}
+
+log {
+  # "text" or "json": one line, or one object, for each event.
+  form = "text"
+}
--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -18,7 +18,7 @@
 import umberspread.Routing.Settings;
 
 /**
- * Every routing decision of one gateway. The interface, with its events and actions, is Routing.java.
+ * Every routing decision of one gateway. What is not private is {@link GenerationRouter}'s. The interface, with its events and actions, is Routing.java.
  *
  * <p>A request's path: {@link #requestArrived} takes it; {@link #dispatch} asks {@link #pick} for a replica
  * and sends an attempt, or holds the request; {@link #attemptEnded} settles it, or sends it to the next ring
@@ -117,14 +117,14 @@
     private static final long RING_SALT = 0x9e3779b97f4a7c15L;
     private static final long COLD_SALT = 0xd1b54a32d192ed03L;
 
-    private final Settings settings;
+    final Settings settings;
     private final Routing.Actions actions;
     private final SplittableRandom random;
-    private final Map<Long, Node> nodes = new HashMap<>();
+    final Map<Long, Node> nodes = new HashMap<>();
     private final Map<Long, Pending> open = new HashMap<>();
     private final Map<Integer, Pending> timers = new HashMap<>();
     private final ArrayDeque<Pending> held = new ArrayDeque<>();
-    private final List<Pool> pools = new ArrayList<>();
+    final List<Pool> pools = new ArrayList<>();
     private final Pool whole;
     private final Pool[] poolOfClass;
     private int visit;
@@ -133,44 +133,44 @@
     private boolean following;
     private boolean calling;
     private long callAt;
-    private final Map<Long, Hot> hot = new HashMap<>();
-    private double unnamed;
+    final Map<Long, Hot> hot = new HashMap<>();
+    double unnamed;
     private boolean planStale;
-    private long plannedAt;
+    long plannedAt;
     private final List<Node> members = new ArrayList<>();
     private final Routing.AttemptBudget budget;
-    private final ArrayDeque<Long> taken = new ArrayDeque<>();
-    private final ArrayDeque<Long> further = new ArrayDeque<>();
+    final ArrayDeque<Long> taken = new ArrayDeque<>();
+    final ArrayDeque<Long> further = new ArrayDeque<>();
     private final long patience;
     private final long planEvery;
-    private double averageWorth;
-    private double sendTally;
-    private double readRate;
-    private double unitWeight;
+    double averageWorth;
+    double sendTally;
+    double readRate;
+    double unitWeight;
     private long latest = Long.MIN_VALUE;
-    private double lateShare;
-    private double shed;
-    private final double[] classTime;
-    private final Map<Integer, Double> kindTime = new HashMap<>();
-    private double lossShare;
+    double lateShare;
+    double shed;
+    final double[] classTime;
+    final Map<Integer, Double> kindTime = new HashMap<>();
+    double lossShare;
     private long nextLogAt;
-    private final double[] tenantTally;
+    final double[] tenantTally;
 
     /**
      * The replicas that one placement allows, with a ring of their own: a class is sent nowhere else, and the
      * bound, the spread of a key, the own zone and the ceiling on ejections are relative to its pool.
      */
-    private static final class Pool {
-        private final Routing.Placement placement;
-        private long[] points = new long[0];
-        private Node[] owners = new Node[0];
-        private final List<Node> members = new ArrayList<>();
-        private int ready;
-        private int inFlight;
-        private int homeReady;
-        private boolean ownZoneFirst;
-        private double capacity = 1;
-        private double arrivals;
+    static final class Pool {
+        final Routing.Placement placement;
+        long[] points = new long[0];
+        Node[] owners = new Node[0];
+        final List<Node> members = new ArrayList<>();
+        int ready;
+        int inFlight;
+        int homeReady;
+        boolean ownZoneFirst;
+        double capacity = 1;
+        double arrivals;
 
         Pool(Routing.Placement placement) {
             this.placement = placement;
@@ -189,31 +189,31 @@
     }
 
     /** A key's recent requests, and over how many ring successors the bound spreads them. */
-    private static final class Hot {
-        private Pool pool;
-        private double tally;
-        private int spread = 1;
+    static final class Hot {
+        Pool pool;
+        double tally;
+        int spread = 1;
     }
 
     /** A replica as this gateway knows it. */
-    private static final class Node {
-        private Replica replica;
-        private final int points;
-        private List<Pool> pools = List.of();
-        private int load;
-        private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
-        private final long[] restUntil;
-        private final int[] strikes;
-        private int visited;
-        private long ejectedUntil;
-        private int ejections;
-        private int breaks;
-        private boolean onTrial;
-        private int overdue;
-        private long slowUntil;
-        private long lastDelay;
-        private long coldBudgetAt;
-        private long budgetedStart;
+    static final class Node {
+        Replica replica;
+        int points;
+        List<Pool> pools = List.of();
+        int load;
+        final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+        final long[] restUntil;
+        final int[] strikes;
+        int visited;
+        long ejectedUntil;
+        int ejections;
+        int breaks;
+        boolean onTrial;
+        int overdue;
+        long slowUntil;
+        long lastDelay;
+        long coldBudgetAt;
+        long budgetedStart;
 
         Node(Replica replica, int points, int classes) {
             this.restUntil = new long[classes];
@@ -425,7 +425,7 @@
     }
 
     /** Points depend on the replica alone, so a change moves only the keys next to that replica's points. */
-    private void rebuildRing() {
+    void rebuildRing() {
         members.clear();
         planStale = true;
         for (Node n : nodes.values()) {
@@ -735,7 +735,7 @@
      * gateway's first send waits a drawn part of its turn: many gateways that learn of it at once, each with
      * one send to spare, fell it together.
      */
-    private boolean inColdBudget(Node n, long now) {
+    boolean inColdBudget(Node n, long now) {
         if (warmth(n, now) >= 1) {
             return true;
         }
@@ -747,7 +747,7 @@
         return n.coldBudgetAt - now <= settings.contract().fallFor() / 2;
     }
 
-    private void spendColdBudget(Node n, long now) {
+    void spendColdBudget(Node n, long now) {
         if (warmth(n, now) < 1) {
             n.coldBudgetAt = Math.max(now, n.coldBudgetAt) + coldSpacing(n, now);
         }
@@ -1246,7 +1246,7 @@
     // ---- numbers
 
     /** A time before the latest one seen is taken for that one: ages and waits are never negative. */
-    private long latest(long time) {
+    long latest(long time) {
         latest = Math.max(latest, time);
         return latest;
     }
--- /dev/null
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -0,0 +1,197 @@
+package umberspread;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import umberspread.BoundedLoadRouter.Hot;
+import umberspread.BoundedLoadRouter.Node;
+import umberspread.BoundedLoadRouter.Pool;
+import umberspread.Routing.ListKind;
+import umberspread.Routing.LoadReport;
+import umberspread.Routing.Outcome;
+import umberspread.Routing.Replica;
+import umberspread.Routing.Request;
+import umberspread.Routing.Settings;
+
+/**
+ * The router of one process among several that are one gateway, one after the other or, for a while, side by
+ * side. It decides nothing: it hands a router's memory on and takes one up, and counts what the others have
+ * out as load, so that the bound and the cold budgets are those of the gateway and not of each process.
+ */
+public final class GenerationRouter implements Routing.Events {
+    private final BoundedLoadRouter router;
+    private final Memory memory;
+    private final long shift;
+    private final Map<String, Lent> lent = new HashMap<>();
+    private boolean recalled;
+
+    private record Lent(Node node, List<Pool> pools) {
+    }
+
+    /** A router that knows nothing yet. */
+    public GenerationRouter(Settings settings, long seed, Routing.Actions actions) {
+        this(settings, seed, actions, null, 0);
+    }
+
+    /** A router that goes on with a memory, whose times are moved by shift. */
+    public GenerationRouter(Settings settings, long seed, Routing.Actions actions, Memory memory, long shift) {
+        this.router = new BoundedLoadRouter(settings, seed, actions);
+        this.memory = memory;
+        this.shift = shift;
+    }
+
+    /** What this router has learnt so far. */
+    public Memory memory() {
+        List<Memory.OfReplica> replicas = new ArrayList<>();
+        for (Node n : router.nodes.values()) {
+            replicas.add(new Memory.OfReplica(n.replica.id(), n.points, list(n.restUntil),
+                    Arrays.stream(n.strikes).boxed().toList(), n.ejectedUntil, n.ejections, n.breaks,
+                    n.slowUntil, n.lastDelay, n.coldBudgetAt, n.budgetedStart));
+        }
+        List<Memory.OfKey> keys = new ArrayList<>();
+        router.hot.forEach((key, h) ->
+                keys.add(new Memory.OfKey(key, h.tally, h.spread, router.pools.indexOf(h.pool))));
+        return new Memory(router.unitWeight, router.averageWorth, router.sendTally, router.readRate,
+                router.lateShare, router.shed, router.lossShare, router.unnamed, router.plannedAt,
+                list(router.classTime), router.kindTime, list(router.tenantTally), List.copyOf(router.taken),
+                List.copyOf(router.further), replicas, keys,
+                router.pools.stream().map(p -> p.arrivals).toList());
+    }
+
+    /** Once the replicas are known; what the memory says of others, or of other settings, is dropped. */
+    private void recall(long now) {
+        router.unitWeight = memory.unitWeight();
+        router.averageWorth = memory.averageWorth();
+        router.sendTally = memory.sendTally();
+        router.readRate = memory.readRate();
+        router.lateShare = memory.lateShare();
+        router.shed = memory.shed();
+        router.lossShare = memory.lossShare();
+        router.unnamed = memory.unnamed();
+        router.plannedAt = Math.min(now, memory.plannedAt() + shift);
+        router.kindTime.putAll(memory.kindTime());
+        fill(router.classTime, memory.classTime());
+        fill(router.tenantTally, memory.tenantTally());
+        memory.taken().forEach(t -> router.taken.add(Math.min(now, t + shift)));
+        memory.further().forEach(t -> router.further.add(Math.min(now, t + shift)));
+        boolean samePools = memory.poolArrivals().size() == router.pools.size();
+        for (int i = 0; samePools && i < router.pools.size(); i++) {
+            router.pools.get(i).arrivals = memory.poolArrivals().get(i);
+        }
+        for (Memory.OfKey k : memory.keys()) {
+            if (samePools && k.pool() >= 0 && k.pool() < router.pools.size()) {
+                Hot h = router.hot.computeIfAbsent(k.key(), key -> new Hot());
+                h.pool = router.pools.get(k.pool());
+                h.tally = k.tally();
+                h.spread = Math.max(1, k.spread());
+            }
+        }
+        memory.replicas().forEach(this::recall);
+        router.rebuildRing();
+    }
+
+    private void recall(Memory.OfReplica m) {
+        Node n = router.nodes.get(m.id());
+        if (n == null) {
+            return;
+        }
+        n.points = Math.max(1, m.points());
+        n.ejectedUntil = moved(m.ejectedUntil());
+        n.ejections = m.ejections();
+        n.breaks = m.breaks();
+        n.slowUntil = moved(m.slowUntil());
+        n.lastDelay = m.lastDelay();
+        // A box's start is a time of its own: a box that has started since is a new one to the budget.
+        n.coldBudgetAt = moved(m.coldBudgetAt());
+        n.budgetedStart = m.budgetedStart();
+        if (m.restUntil().size() == n.restUntil.length && m.strikes().size() == n.strikes.length) {
+            for (int c = 0; c < n.restUntil.length; c++) {
+                n.restUntil[c] = moved(m.restUntil().get(c));
+                n.strikes[c] = m.strikes().get(c);
+            }
+        }
+    }
+
+    private long moved(long time) {
+        return time == 0 ? 0 : time + shift;
+    }
+
+    private static void fill(double[] into, List<Double> from) {
+        for (int i = 0; into.length == from.size() && i < into.length; i++) {
+            into[i] = from.get(i);
+        }
+    }
+
+    private static List<Double> list(double[] values) {
+        return Arrays.stream(values).boxed().toList();
+    }
+
+    private static List<Long> list(long[] values) {
+        return Arrays.stream(values).boxed().toList();
+    }
+
+    @Override
+    public void otherSent(long time, String token, long replicaId) {
+        long now = router.latest(time);
+        Node n = router.nodes.get(replicaId);
+        if (n == null || lent.containsKey(token)) {
+            return;
+        }
+        lent.put(token, new Lent(n, n.pools));
+        n.load++;
+        n.pools.forEach(pool -> pool.inFlight++);
+        router.inColdBudget(n, now);
+        router.spendColdBudget(n, now);
+    }
+
+    @Override
+    public void otherEnded(long now, String token) {
+        Lent l = lent.remove(token);
+        if (l != null) {
+            l.node.load--;
+            l.pools.forEach(pool -> pool.inFlight--);
+        }
+    }
+
+    @Override
+    public void started(long now) {
+        router.started(now);
+    }
+
+    @Override
+    public void listReceived(long now, ListKind kind, List<Replica> entries) {
+        router.listReceived(now, kind, entries);
+        if (!recalled && memory != null) {
+            recalled = true;
+            recall(router.latest(now));
+        }
+    }
+
+    @Override
+    public void requestArrived(long now, Request request) {
+        router.requestArrived(now, request);
+    }
+
+    @Override
+    public void firstToken(long now, long requestId, int attempt) {
+        router.firstToken(now, requestId, attempt);
+    }
+
+    @Override
+    public void attemptEnded(long now, long requestId, int attempt, Outcome outcome, long took,
+            boolean requestOver, long keptTokens, LoadReport report) {
+        router.attemptEnded(now, requestId, attempt, outcome, took, requestOver, keptTokens, report);
+    }
+
+    @Override
+    public void requestGone(long now, long requestId) {
+        router.requestGone(now, requestId);
+    }
+
+    @Override
+    public void woken(long now, int token) {
+        router.woken(now, token);
+    }
+}
--- a/src/main/java/umberspread/Routing.java
+++ b/src/main/java/umberspread/Routing.java
@@ -207,6 +207,17 @@
 
         /** A time asked for by {@link Actions#wakeAt} has come. */
         void woken(long now, int token);
+
+        /**
+         * Another process of this gateway has a request out at a replica: it counts as the gateway's own load.
+         * token is the other's name for it, and never that of a request of this one.
+         */
+        default void otherSent(long now, String token, long replicaId) {
+        }
+
+        /** What {@link #otherSent} told is over. Unknown tokens are ignored. */
+        default void otherEnded(long now, String token) {
+        }
     }
 
     /** What the router asks of its gateway. */
--- /dev/null
+++ b/src/main/java/yewdock/Commands.java
@@ -0,0 +1,275 @@
+package yewdock;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import yewdock.daemon.Keeper;
+import yewdock.daemon.Operator;
+import yewdock.log.Say;
+import yewdock.platform.Addresses;
+import yewdock.platform.Config;
+import yewdock.proof.Router;
+import yewdock.proof.Rules;
+import yewdock.proof.UpgradeProof;
+import yewdock.settings.BadSettingsException;
+import yewdock.settings.OperatorSettings;
+import yewdock.standin.Fleet;
+import yewdock.standin.Ledger;
+import yewdock.standin.Load;
+
+/** The commands that {@code serve} must not pay for: this class and its library are loaded for them alone. */
+final class Commands {
+    private static final String MAIN = Main.class.getName();
+    private static final int FAILED = 1;
+
+    private Commands() {
+    }
+
+    static int run(String... args) {
+        CommandLine line = new CommandLine(new Root());
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            String why = e.getMessage() == null ? e.toString() : e.getMessage();
+            why.lines().forEach(l -> System.err.println("yewdock: " + l));
+            return FAILED;
+        });
+        line.setParameterExceptionHandler((e, words) -> {
+            System.err.println("yewdock: " + e.getMessage() + " (try --help)");
+            return e.getCommandLine().getCommandSpec().exitCodeOnInvalidInput();
+        });
+        return line.execute(args);
+    }
+
+    @Command(name = "yewdock", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "A request router for fleets of model boxes.", synopsisSubcommandLabel = "COMMAND",
+            footer = "Exit codes: 0 done, 1 failed, 2 bad usage.",
+            subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
+                Demo.class, LoadTool.class, Proof.class})
+    static final class Root implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+        }
+    }
+
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Commands.class.getPackage().getImplementationVersion();
+            return new String[] {"yewdock " + (version == null ? "unpackaged" : version)};
+        }
+    }
+
+    /** The operator's file, for the commands that need it. */
+    static final class SettingsFile {
+        @Option(names = "--settings", paramLabel = "FILE",
+                description = "the operator's settings, in HCL (default: all defaults)")
+        private Path file;
+
+        OperatorSettings read() throws IOException, BadSettingsException {
+            return file == null ? OperatorSettings.defaults() : OperatorSettings.read(file);
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "One router in this process, as PROXY_CONFIG says.")
+    static final class Serve implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Main.serve(System.getenv("PROXY_CONFIG"));
+        }
+    }
+
+    @Command(name = "adapter", mixinStandardHelpOptions = true,
+            description = "The decisions on the simulator's wire, over standard input and output.")
+    static final class Adapter implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            umberspread.adapter.Main.main(new String[] {"adapter"});
+            return 0;
+        }
+    }
+
+    @Command(name = "daemon", mixinStandardHelpOptions = true,
+            description = "A router that can be upgraded while it serves.")
+    static final class Daemon implements Callable<Integer> {
+        @CommandLine.Mixin
+        private SettingsFile settings;
+        @Option(names = "--log", paramLabel = "FORM", description = "text or json; wins over the settings")
+        private String log;
+
+        @Override
+        public Integer call() throws Exception {
+            OperatorSettings read = settings.read();
+            if (log != null && !List.of("text", "json").contains(log)) {
+                throw new IllegalArgumentException("--log: text or json, not " + log);
+            }
+            OperatorSettings chosen = log == null ? read : new OperatorSettings(read.daemon(), read.upgrade(),
+                    new OperatorSettings.Log(log));
+            Say.as(chosen.log().form().equals("json") ? Say.Form.JSON : Say.Form.TEXT);
+            return new Keeper(chosen, List.of(MAIN, "generation")).run();
+        }
+    }
+
+    @Command(name = "upgrade", mixinStandardHelpOptions = true,
+            description = "Brings up a new generation that takes over; the old one finishes what it has.")
+    static final class Upgrade implements Callable<Integer> {
+        private static final long SLACK_MILLIS = 5_000;
+        @CommandLine.Mixin
+        private SettingsFile settings;
+        @Option(names = "--program", paramLabel = "JAR",
+                description = "the new program (default: the one that serves)")
+        private Path program;
+
+        @Override
+        public Integer call() throws Exception {
+            OperatorSettings read = settings.read();
+            if (program != null && !Files.isReadable(program)) {
+                throw new IOException("the program can't be read: " + program);
+            }
+            OperatorSettings.Upgrade u = read.upgrade();
+            long longest = (u.start() + u.check() + u.state() + u.ready() + u.take() + u.share() + u.go()
+                    + u.letGo())
+                    / 1000 + SLACK_MILLIS;
+            return Operator.ask(read.daemon().control(), "upgrade", program == null ? List.of()
+                    : List.of(program.toAbsolutePath().toString()), longest, System.out::println);
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Which generations live.")
+    static final class Status implements Callable<Integer> {
+        private static final long ANSWER_MILLIS = 5_000;
+        @CommandLine.Mixin
+        private SettingsFile settings;
+
+        @Override
+        public Integer call() throws Exception {
+            return Operator.ask(settings.read().daemon().control(), "status", List.of(), ANSWER_MILLIS,
+                    System.out::println);
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Checks a settings file (.hcl) or a configuration of the platform's (.json).")
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            if (file.toString().endsWith(".json")) {
+                Config.read(Files.readString(file), System.out::println);
+            } else {
+                OperatorSettings read = OperatorSettings.read(file);
+                Config.read(Files.readString(read.daemon().config()), System.out::println);
+            }
+            System.out.println("good");
+            return 0;
+        }
+    }
+
+    @Command(name = "demo", mixinStandardHelpOptions = true, description = "A box list, boxes, a router and a "
+            + "little load on this machine, with one upgrade in the middle; prints what came of it.")
+    static final class Demo implements Callable<Integer> {
+        private static final int HALF_MILLIS = 2_000;
+
+        @Override
+        public Integer call() throws Exception {
+            Path folder = Files.createTempDirectory("yewdock-demo");
+            try (Fleet fleet = new Fleet(4, 32);
+                    Router router = Router.start(MAIN, folder, fleet.configuration("127.0.0.1:0"), "")) {
+                System.out.println("4 stand-in boxes, their list at " + fleet.list().address()
+                        + ", the router at " + router.address());
+                Load load = new Load(new Load.Plan(router.address(), 16, 60, 30, 10, 1), fleet.ledger());
+                load.start();
+                Thread.sleep(HALF_MILLIS);
+                System.out.println(router.ask("upgrade", List.of()).lines());
+                Thread.sleep(HALF_MILLIS);
+                System.out.println(router.ask("status", List.of()).lines());
+                load.stop();
+                System.out.println(Load.summary(fleet.ledger().atClients()));
+                List<String> broken = Rules.broken(fleet.ledger());
+                broken.forEach(System.out::println);
+                System.out.println("broken rules: " + broken.size());
+                return router.leave() && broken.isEmpty() ? 0 : FAILED;
+            }
+        }
+    }
+
+    @Command(name = "load", mixinStandardHelpOptions = true,
+            description = "Clients for a router that uses the stand-in boxes.")
+    static final class LoadTool implements Callable<Integer> {
+        @Parameters(paramLabel = "HOST:PORT")
+        private String to;
+        @Option(names = "--connections", defaultValue = "64")
+        private int connections;
+        @Option(names = "--rate", defaultValue = "100", description = "requests a second")
+        private double rate;
+        @Option(names = "--seconds", defaultValue = "10")
+        private int seconds;
+        @Option(names = "--tokens", defaultValue = "40", description = "of a stream, at most")
+        private int tokens;
+        @Option(names = "--pace-ms", defaultValue = "10", description = "between tokens, at most")
+        private int pace;
+        @Option(names = "--seed", defaultValue = "1")
+        private long seed;
+        @Option(names = "--records", paramLabel = "FILE", description = "one line a request, as CSV")
+        private Path records;
+
+        @Override
+        public Integer call() throws Exception {
+            if (connections < 1 || !(rate > 0) || seconds < 1 || tokens < 1 || pace < 0) {
+                throw new IllegalArgumentException("connections, rate, seconds and tokens are at least 1");
+            }
+            InetSocketAddress address = Addresses.of(to);
+            if (!address.getAddress().isLoopbackAddress()) {
+                throw new IllegalArgumentException("load is sent to this machine only, not to " + to);
+            }
+            Ledger ledger = new Ledger();
+            Load load = new Load(new Load.Plan(address, connections, rate, tokens, pace, seed), ledger);
+            load.start();
+            TimeUnit.SECONDS.sleep(seconds);
+            load.stop();
+            System.out.println(Load.summary(ledger.atClients()));
+            if (records != null) {
+                StringBuilder all = new StringBuilder("id,end,status,exact,sent_anew,began_ns,first_ns,ended_ns\n");
+                ledger.atClients().forEach(a -> all.append(a.id()).append(',').append(a.end()).append(',')
+                        .append(a.status()).append(',').append(a.exact()).append(',').append(a.crossed())
+                        .append(',').append(a.began()).append(',').append(a.firstToken()).append(',')
+                        .append(a.ended()).append('\n'));
+                Files.writeString(records, all);
+            }
+            return ledger.atClients().stream().allMatch(a -> a.end() == Ledger.End.SERVED && a.exact())
+                    ? 0 : FAILED;
+        }
+    }
+
+    @Command(name = "proof", mixinStandardHelpOptions = true, description = "Upgrades under load, judged.")
+    static final class Proof implements Callable<Integer> {
+        @Option(names = "--upgrades", defaultValue = "50")
+        private int upgrades;
+        @Option(names = "--connections", defaultValue = "96")
+        private int connections;
+        @Option(names = "--rate", defaultValue = "330", description = "requests a second")
+        private double rate;
+        @Option(names = "--seed", defaultValue = "1")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            List<String> broken = new UpgradeProof(MAIN, upgrades, connections, rate, seed, System.out::println).run();
+            broken.stream().limit(40).forEach(System.out::println);
+            return broken.isEmpty() ? 0 : FAILED;
+        }
+    }
+}
--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -7,17 +7,18 @@
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
 import umberspread.BoundedLoadRouter;
+import yewdock.daemon.Generation;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.platform.Config;
+import yewdock.log.Say;
 import yewdock.platform.Front;
 import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
 
-/** The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire. */
+/** The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire, and the
+  * other commands are {@link Commands}. */
 public final class Main {
-    private static final int USAGE = 2;
-
     private Main() {
     }
 
@@ -25,16 +26,18 @@
     public static void main(String[] args) {
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
+            // these start often and on little memory: they don't load the library that reads command lines
             case "adapter" -> umberspread.adapter.Main.main(args);
             case "serve" -> System.exit(serve(System.getenv("PROXY_CONFIG")));
-            default -> {
-                System.err.println("usage: java -jar yewdock.jar serve | adapter");
-                System.exit(USAGE);
+            case "generation" -> {
+                Say.as("json".equals(System.getenv("YEWDOCK_LOG")) ? Say.Form.JSON : Say.Form.TEXT);
+                System.exit(Generation.run(System.getenv()));
             }
+            default -> System.exit(Commands.run(args));
         }
     }
 
-    private static int serve(String file) {
+    static int serve(String file) {
         Consumer<String> log = line -> Logger.info("{}", line);
         Config config;
         try {
--- /dev/null
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -0,0 +1,390 @@
+package yewdock.daemon;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import umberspread.GenerationRouter;
+import yewdock.desk.BoxList;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.OtherNews;
+import yewdock.log.Say;
+import yewdock.platform.Config;
+import yewdock.platform.Front;
+import yewdock.platform.Side;
+import yewdock.platform.Wire;
+import yewdock.sockets.Clock;
+import yewdock.sockets.Signals;
+import yewdock.sockets.Sockets;
+import yewdock.upgrade.Stage;
+import yewdock.wire.Checked;
+import yewdock.wire.Counts;
+import yewdock.wire.Failed;
+import yewdock.wire.Frame;
+import yewdock.wire.Hello;
+import yewdock.wire.LetGoDone;
+import yewdock.wire.News;
+import yewdock.wire.Ready;
+import yewdock.wire.Serving;
+import yewdock.wire.Took;
+
+/**
+ * One generation of a router: a process that takes its state from the one before it, serves, and gives what it
+ * knows to the next. The keeper tells it when; everything it does for that is done on the desk's thread.
+ */
+public class Generation {
+    private static final long LAST_WORDS_MILLIS = 500;
+
+    private final int number;
+    private final Path control;
+    private final String secret;
+    private final String file;
+    private final BlockingQueue<Frame> early = new LinkedBlockingQueue<>();
+    private volatile boolean up;
+    private Link link;
+    private Config config;
+    private Counters counters;
+    private Desk desk;
+    private Front front;
+    private Sockets sockets;
+    private GenerationRouter router;
+    private ServerSocketChannel listener;
+    private boolean accepting;
+    private Map<String, Long> countedBefore = Map.of();
+
+    /** A generation with this number, whose keeper is to be found there. */
+    public Generation(int number, Path control, String secret, String file) {
+        this.number = number;
+        this.control = control;
+        this.secret = secret;
+        this.file = file;
+    }
+
+    /** Runs the generation that the environment describes, to its end; returns the exit code. */
+    public static int run(Map<String, String> environment) {
+        return of(environment, Generation::new).run();
+    }
+
+    /** Makes a generation, as {@link #Generation} does. */
+    public interface Maker<G> {
+        G make(int number, Path control, String secret, String file);
+    }
+
+    /** The generation that the environment describes. */
+    public static <G> G of(Map<String, String> environment, Maker<G> maker) {
+        String number = environment.get(Keeper.GENERATION);
+        String control = environment.get(Keeper.CONTROL);
+        if (number == null || control == null) {
+            throw new IllegalArgumentException("a generation is started by its daemon, not by hand");
+        }
+        return maker.make(Integer.parseInt(number), Path.of(control),
+                environment.getOrDefault(Keeper.SECRET, ""), environment.get("PROXY_CONFIG"));
+    }
+
+    /** Called as each stage is reached, on whichever thread gets there; stand-ins make it fail. */
+    protected void reached(Stage stage) {
+        // nothing fails here
+    }
+
+    /** The connection to the keeper. */
+    protected final Link link() {
+        return link;
+    }
+
+    /** Serves to the end; returns the exit code. */
+    public final int run() {
+        try {
+            link = Link.to(control);
+        } catch (IOException e) {
+            Say.warn("generation.alone", "generation", number, "why", e.getMessage());
+            return 1;
+        }
+        link.start("keeper", this::heard, this::lost);
+        // the keeper passes SIGHUP on; one that comes here straight must not end the process
+        Signals.onHangUp(() -> {
+            if (up) {
+                reconfigure();
+            }
+        });
+        reached(Stage.START);
+        link.send(Frame.newBuilder().setHello(Hello.newBuilder().setGeneration(number).setSecret(secret)
+                .setProgram(String.valueOf(getClass().getPackage().getImplementationVersion()))).build());
+        reached(Stage.CHECK);
+        try {
+            config = read();
+        } catch (IOException | IllegalArgumentException e) {
+            link.send(Frame.newBuilder().setFailed(Failed.newBuilder()
+                    .setWhy("the configuration can't be read: " + e.getMessage())).build());
+            link.finish(LAST_WORDS_MILLIS);
+            return 1;
+        }
+        link.send(Frame.newBuilder().setChecked(Checked.getDefaultInstance()).build());
+        States.Left left = awaitState();
+        reached(Stage.READY);
+        build(left);
+        sockets.serveLater(() -> begin(left), front, desk);
+        link.send(Frame.newBuilder().setNews(News.newBuilder().setCounts(
+                Counts.newBuilder().putAllByName(countedSince()))).build());
+        Say.info("generation.ends", "generation", number, "counters", counters.toString().strip()
+                .replace('\n', ';'));
+        link.finish(LAST_WORDS_MILLIS);
+        return 0;
+    }
+
+    private Config read() throws IOException {
+        if (file == null) {
+            throw new IllegalArgumentException("PROXY_CONFIG is not set");
+        }
+        return Config.read(Files.readString(Path.of(file)), this::log);
+    }
+
+    private void log(String line) {
+        Say.info("router", "generation", number, "line", line);
+    }
+
+    /** Waits for the state; one that can't be read leaves this generation as after a restart. */
+    private States.Left awaitState() {
+        while (true) {
+            try {
+                Frame frame = early.take();
+                if (!frame.hasState()) {
+                    continue;
+                }
+                reached(Stage.STATE);
+                return States.read(frame.getState(), new Clock().getAsLong(),
+                        System.nanoTime());
+            } catch (UnreadableStateException e) {
+                Say.warn("state.refused", "generation", number, "why", e.getMessage());
+                return null;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return null;
+            }
+        }
+    }
+
+    private void build(States.Left left) {
+        counters = new Counters();
+        if (left != null) {
+            left.counters().forEach(counters::add);
+        }
+        countedBefore = counters.all();
+        desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), config.bounds(),
+                counters, actions -> {
+                    router = left == null
+                            ? new GenerationRouter(config.settings(), seed(), actions)
+                            : new GenerationRouter(config.settings(), seed(), actions, left.memory(),
+                                    left.shift());
+                    return router;
+                });
+        sockets = new Sockets(config.bounds().clients());
+        front = new Front(config, desk, counters, sockets, sockets.clock(), this::log);
+        front.tellOthersBy(this::tellOthers);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> sockets.leave(), "leave"));
+    }
+
+    /** Generations of one router must not draw the same numbers. */
+    private long seed() {
+        return config.seed() + number * 0x9e3779b97f4a7c15L;
+    }
+
+    /** On the desk's thread, first of all. */
+    private void begin(States.Left left) {
+        boolean sameList = left != null && left.listAddress().equals(config.discovery());
+        if (left == null || left.boxes().boxes().isEmpty() && config.known().version() >= 0) {
+            front.start();
+        } else {
+            // the versions of one list mean nothing to another: then the whole of it is asked for
+            front.start(new BoxList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
+            desk.recallTold(left.toldAt());
+        }
+        synchronized (early) {
+            for (Frame frame = early.poll(); frame != null; frame = early.poll()) {
+                handleSafely(frame);
+            }
+            up = true;
+        }
+        link.send(Frame.newBuilder().setReady(Ready.newBuilder().setNote(left == null ? "starts afresh"
+                : "goes on with " + left.boxes().boxes().size() + " boxes, list version "
+                + left.boxes().version())).build());
+    }
+
+    private void heard(Frame frame) {
+        synchronized (early) {
+            if (!up) {
+                early.add(frame);
+                return;
+            }
+        }
+        sockets.post(() -> handleSafely(frame));
+    }
+
+    private void lost(String why) {
+        Say.warn("keeper.lost", "generation", number, "why", why, "now", "serving on without upgrades");
+        if (!up) {
+            // nobody will ever tell it to serve
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    private void handleSafely(Frame frame) {
+        try {
+            handle(frame);
+        } catch (IOException | RuntimeException e) {
+            Say.warn("generation.fault", "generation", number, "frame", frame.getWhatCase(), "why", e);
+            if (!accepting) {
+                link.send(Frame.newBuilder().setFailed(Failed.newBuilder().setWhy(e.toString())).build());
+            }
+        }
+    }
+
+    private void handle(Frame frame) throws IOException {
+        switch (frame.getWhatCase()) {
+            case GIVE_STATE -> link.send(Frame.newBuilder().setState(States.write(desk.holdings(),
+                    router.memory(), counters.all(), sockets.clock().getAsLong(), System.nanoTime())).build());
+            case SHARE -> front.happened(new Event.Share());
+            case SHARING -> {
+                reached(Stage.SHARE);
+                front.happened(new Event.Adopt(frame.getSharing().getGeneration(),
+                        States.holdings(frame.getSharing())));
+            }
+            case NEWS -> news(frame.getNews());
+            case OTHER_GONE -> front.happened(new Event.OtherGone(frame.getOtherGone().getGeneration()));
+            case TAKE -> take();
+            case GO -> go();
+            case LET_GO -> letGo(frame.getLetGo().getLimitMicros());
+            case TAKE_BACK -> takeBack();
+            case LEAVE -> front.happened(new Event.Leave());
+            case RECONFIGURE -> reconfigure();
+            default -> Say.warn("frame.unknown", "generation", number, "frame", frame.getWhatCase());
+        }
+    }
+
+    private void news(News told) {
+        if (told.hasCounts()) {
+            told.getCounts().getByNameMap().forEach(counters::add);
+            return;
+        }
+        OtherNews news = States.news(told);
+        if (news != null) {
+            front.happened(new Event.FromOther(told.getGeneration(), news));
+        }
+    }
+
+    private void tellOthers(Effect effect) {
+        if (effect instanceof Effect.ShareOut e) {
+            link.send(Frame.newBuilder().setSharing(States.sharing(e.held())).build());
+        } else if (effect instanceof Effect.TellOthers e) {
+            link.send(Frame.newBuilder().setNews(States.news(e.news())).build());
+        }
+    }
+
+    private void take() throws IOException {
+        listener = Listener.inherited();
+        String answer = tryOut();
+        if (!answer.startsWith("HTTP/1.1 200 ") && !answer.startsWith("HTTP/1.1 503 ")) {
+            throw new IOException("the try-out brought " + answer.lines().findFirst().orElse("nothing"));
+        }
+        reached(Stage.TAKE);
+        link.send(Frame.newBuilder().setTook(Took.getDefaultInstance()).build());
+    }
+
+    private void go() throws IOException {
+        reached(Stage.GO);
+        sockets.accept(listener);
+        accepting = true;
+        Say.info("generation.serves", "generation", number, "address", listener.getLocalAddress());
+        link.send(Frame.newBuilder().setServing(Serving.newBuilder()
+                .setAddress(listener.getLocalAddress().toString())).build());
+        reached(Stage.LET_GO);
+    }
+
+    /** One request through the front and the desk, over a connection that is none. */
+    private String tryOut() {
+        StringBuilder answer = new StringBuilder();
+        Side side = front.accept(new Wire() {
+            @Override
+            public void write(ByteBuffer bytes) {
+                answer.append(StandardCharsets.ISO_8859_1.decode(bytes));
+            }
+
+            @Override
+            public void close() {
+                // there is nothing to close
+            }
+
+            @Override
+            public void closeAfterWriting() {
+                // nor to wait for
+            }
+
+            @Override
+            public void closeGently() {
+                // nor to wait for
+            }
+
+            @Override
+            public void hold(boolean held) {
+                // nor to hold
+            }
+        });
+        side.received(ByteBuffer.wrap("GET /ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
+        side.down();
+        return answer.toString();
+    }
+
+    private void letGo(long limit) {
+        if (accepting) {
+            sockets.stopAccepting();
+            accepting = false;
+        }
+        Say.info("generation.lets_go", "generation", number, "open", desk.holdings().ids().size());
+        link.send(Frame.newBuilder().setLetGoDone(LetGoDone.getDefaultInstance()).build());
+        front.happened(new Event.LetGo(limit));
+    }
+
+    private void takeBack() throws IOException {
+        if (!accepting) {
+            sockets.accept(listener);
+            accepting = true;
+        }
+        Say.info("generation.takes_back", "generation", number);
+        front.happened(new Event.TakeBack());
+    }
+
+    /** Read on a thread of its own: a slow disk must not hold requests up. */
+    private void reconfigure() {
+        Consumer<Config> taken = next -> sockets.reconfigure(next);
+        Thread reader = new Thread(() -> {
+            try {
+                taken.accept(read());
+            } catch (IOException | IllegalArgumentException e) {
+                Say.warn("configuration.refused", "generation", number, "why", e.getMessage(),
+                        "now", "the old one stays");
+            }
+        }, "reconfigure");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private Map<String, Long> countedSince() {
+        Map<String, Long> since = new HashMap<>();
+        counters.all().forEach((name, count) -> {
+            long more = count - countedBefore.getOrDefault(name, 0L);
+            if (more != 0) {
+                since.put(name, more);
+            }
+        });
+        return since;
+    }
+}
--- /dev/null
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -0,0 +1,285 @@
+package yewdock.daemon;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import yewdock.log.Say;
+import yewdock.platform.Addresses;
+import yewdock.platform.Config;
+import yewdock.settings.OperatorSettings;
+import yewdock.sockets.Clock;
+import yewdock.sockets.Signals;
+import yewdock.upgrade.KeeperEffect;
+import yewdock.upgrade.KeeperEvent;
+import yewdock.upgrade.Limits;
+import yewdock.upgrade.Stage;
+import yewdock.upgrade.Upgrade;
+import yewdock.wire.Answer;
+import yewdock.wire.Frame;
+import yewdock.wire.Hello;
+
+/**
+ * The small parent: it holds the listener, starts generations that have it as their standard input, and carries
+ * out what {@link Upgrade} decides. It never accepts a client's connection and never reads one.
+ */
+public final class Keeper {
+    static final String GENERATION = "YEWDOCK_GENERATION";
+    static final String CONTROL = "YEWDOCK_CONTROL";
+    static final String SECRET = "YEWDOCK_SECRET";
+    private static final long LONGEST_SLEEP = 1_000_000;
+    private static final int SECRET_BYTES = 16;
+    private static final long LAST_WORDS_MILLIS = 500;
+
+    private final OperatorSettings settings;
+    private final List<String> usual;
+    private final Upgrade upgrade;
+    private final Clock clock = new Clock();
+    private final BlockingQueue<KeeperEvent> events = new LinkedBlockingQueue<>();
+    private final Map<Integer, Link> links = new ConcurrentHashMap<>();
+    private final Map<Integer, String> secrets = new ConcurrentHashMap<>();
+    private final Map<Integer, Process> processes = new HashMap<>();
+    private final Map<Long, Link> operators = new ConcurrentHashMap<>();
+    private final AtomicLong lastCommand = new AtomicLong();
+    private final SecureRandom random = new SecureRandom();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private ServerSocketChannel listener;
+    private ServerSocketChannel control;
+    private int exit = -1;
+
+    /** A keeper whose generations run this main class with these words, where an upgrade names no other. */
+    public Keeper(OperatorSettings settings, List<String> usual) {
+        this.settings = settings;
+        this.usual = List.copyOf(usual);
+        OperatorSettings.Upgrade u = settings.upgrade();
+        Limits limits = new Limits(Map.of(Stage.START, u.start(),
+                Stage.CHECK, u.check(), Stage.STATE, u.state(),
+                Stage.READY, u.ready(), Stage.SHARE, u.share(),
+                Stage.TAKE, u.take(), Stage.GO, u.go(), Stage.LET_GO, u.letGo()),
+                u.finish(), u.mostFinishing());
+        this.upgrade = new Upgrade(limits);
+    }
+
+    /** Listens, starts the first generation and keeps until the last has ended; returns the exit code. */
+    public int run() throws IOException {
+        Config config = Config.read(Files.readString(settings.daemon().config()), line -> { });
+        openControl();
+        listener = Listener.asStandardInput(Addresses.of(config.listen()));
+        Say.info("keeper.listens", "address", listener.getLocalAddress(), "control",
+                Link.socketIn(settings.daemon().control()));
+        Thread accepting = new Thread(this::acceptControl, "control");
+        accepting.setDaemon(true);
+        accepting.start();
+        Signals.onHangUp(() -> events.add(new KeeperEvent.HungUp()));
+        Thread leave = new Thread(() -> {
+            events.add(new KeeperEvent.Leave());
+            try {
+                ended.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "leave");
+        Runtime.getRuntime().addShutdownHook(leave);
+        String program = settings.daemon().program();
+        events.add(new KeeperEvent.Begun(List.of(program.isEmpty() ? ownProgram() : program)));
+        while (exit < 0) {
+            keepOn();
+        }
+        control.close();
+        Files.deleteIfExists(Link.socketIn(settings.daemon().control()));
+        Say.info("keeper.ends", "exit", exit);
+        ended.countDown();
+        return exit;
+    }
+
+    private void keepOn() {
+        try {
+            long wait = Math.max(0, Math.min(upgrade.nextDue() - clock.getAsLong(), LONGEST_SLEEP));
+            KeeperEvent event = events.poll(wait, TimeUnit.MICROSECONDS);
+            if (event instanceof KeeperEvent.Ended gone) {
+                processes.remove(gone.generation());
+                secrets.remove(gone.generation());
+            }
+            if (event != null) {
+                upgrade.reduce(event, clock.getAsLong()).forEach(this::perform);
+            }
+            if (upgrade.nextDue() <= clock.getAsLong()) {
+                upgrade.reduce(new KeeperEvent.Tick(), clock.getAsLong()).forEach(this::perform);
+            }
+        } catch (InterruptedException e) {
+            Say.warn("keeper.interrupted");
+        }
+    }
+
+    /** What this process was started from. */
+    private static String ownProgram() {
+        StringBuilder all = new StringBuilder();
+        for (String part : System.getProperty("java.class.path").split(File.pathSeparator)) {
+            all.append(all.length() == 0 ? "" : File.pathSeparator).append(Path.of(part).toAbsolutePath());
+        }
+        return all.toString();
+    }
+
+    // ---- the control socket
+
+    private void openControl() throws IOException {
+        Path folder = settings.daemon().control();
+        Files.createDirectories(folder);
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        Path socket = Link.socketIn(folder);
+        if (Files.exists(socket)) {
+            // left by a daemon that was killed, or held by one that lives
+            try {
+                Link.to(folder).close();
+                throw new IOException("a daemon runs already, its control socket is " + socket);
+            } catch (IOException e) {
+                if (e.getMessage().startsWith("a daemon runs")) {
+                    throw e;
+                }
+                Files.delete(socket);
+            }
+        }
+        control = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+        control.bind(UnixDomainSocketAddress.of(socket));
+        Files.setPosixFilePermissions(socket, PosixFilePermissions.fromString("rw-------"));
+    }
+
+    private void acceptControl() {
+        while (control.isOpen()) {
+            try {
+                new Peer(control.accept()).start();
+            } catch (IOException e) {
+                if (control.isOpen()) {
+                    Say.warn("control.broken", "why", e.getMessage());
+                }
+            }
+        }
+    }
+
+    /** A connection of the control socket: its first frame tells whose it is. */
+    private final class Peer {
+        private final Link link;
+        private int generation;
+        private long command;
+
+        Peer(SocketChannel channel) {
+            link = new Link(channel);
+        }
+
+        void start() {
+            link.start("peer", this::heard, this::lost);
+        }
+
+        private void heard(Frame frame) {
+            if (generation != 0) {
+                events.add(new KeeperEvent.Heard(generation, frame));
+            } else if (command != 0) {
+                link.close();
+            } else if (frame.hasHello()) {
+                hello(frame);
+            } else if (frame.hasAsk()) {
+                command = lastCommand.incrementAndGet();
+                operators.put(command, link);
+                events.add(switch (frame.getAsk().getCommand()) {
+                    case "upgrade" -> new KeeperEvent.Asked(command, frame.getAsk().getWordsList());
+                    default -> new KeeperEvent.StatusAsked(command);
+                });
+            } else {
+                link.close();
+            }
+        }
+
+        private void hello(Frame frame) {
+            Hello hello = frame.getHello();
+            if (!hello.getSecret().equals(secrets.get(hello.getGeneration()))) {
+                link.close();
+                return;
+            }
+            generation = hello.getGeneration();
+            links.put(generation, link);
+            events.add(new KeeperEvent.Heard(generation, frame));
+        }
+
+        private void lost(String why) {
+            if (generation != 0) {
+                links.remove(generation, link);
+                events.add(new KeeperEvent.Lost(generation, why));
+            } else if (command != 0) {
+                operators.remove(command);
+            }
+        }
+    }
+
+    // ---- effects
+
+    private void perform(KeeperEffect effect) {
+        if (effect instanceof KeeperEffect.Tell e) {
+            Link link = links.get(e.generation());
+            if (link != null) {
+                link.send(e.frame());
+            }
+        } else if (effect instanceof KeeperEffect.Start e) {
+            start(e.generation(), e.program());
+        } else if (effect instanceof KeeperEffect.Kill e) {
+            Process process = processes.get(e.generation());
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        } else if (effect instanceof KeeperEffect.Reply e) {
+            Link link = operators.get(e.command());
+            if (link != null) {
+                link.send(Frame.newBuilder().setAnswer(Answer.newBuilder().setLine(e.line())
+                        .setLast(e.last()).setExit(e.exit())).build());
+            }
+        } else if (effect instanceof KeeperEffect.Note e) {
+            Say.info(e.event(), e.fields());
+        } else if (effect instanceof KeeperEffect.Stop e) {
+            exit = e.exit();
+            operators.values().forEach(link -> link.finish(LAST_WORDS_MILLIS));
+        }
+    }
+
+    /** The program is a class path, and after it the main class and its words where they are not the usual. */
+    private void start(int number, List<String> program) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(settings.daemon().java());
+        command.addAll(List.of("-cp", program.get(0)));
+        command.addAll(program.size() > 1 ? program.subList(1, program.size())
+                : usual);
+        byte[] bytes = new byte[SECRET_BYTES];
+        random.nextBytes(bytes);
+        secrets.put(number, HexFormat.of().formatHex(bytes));
+        ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
+        builder.environment().put(GENERATION, Integer.toString(number));
+        builder.environment().put(SECRET, secrets.get(number));
+        builder.environment().put(CONTROL, settings.daemon().control().toAbsolutePath().toString());
+        builder.environment().put("PROXY_CONFIG", settings.daemon().config().toString());
+        builder.environment().put("YEWDOCK_LOG", settings.log().form());
+        try {
+            Process process = builder.start();
+            processes.put(number, process);
+            process.onExit().thenAccept(done -> events.add(new KeeperEvent.Ended(number,
+                    "its process ended with " + done.exitValue())));
+        } catch (IOException e) {
+            events.add(new KeeperEvent.Ended(number, "it can't be started: " + e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/yewdock/daemon/States.java
@@ -0,0 +1,192 @@
+package yewdock.daemon;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import umberspread.Routing.Lifecycle;
+import umberspread.Routing.Replica;
+import yewdock.desk.BoxList;
+import yewdock.desk.Holdings;
+import yewdock.desk.ModelBox;
+import yewdock.desk.OtherNews;
+import yewdock.wire.Box;
+import yewdock.wire.Boxes;
+import yewdock.wire.KeyMemory;
+import yewdock.wire.Memory;
+import yewdock.wire.News;
+import yewdock.wire.NodeMemory;
+import yewdock.wire.Out;
+import yewdock.wire.Sharing;
+import yewdock.wire.State;
+
+/** Turns what generations tell each other into messages, and back. No I/O. */
+public final class States {
+    /** The version that is written, and the oldest that is still read. */
+    static final int VERSION = 1;
+    static final int OLDEST_READ = 1;
+    /** The least version that a reader must know to make sense of what is written now. */
+    static final int LEAST_READER = 1;
+
+    private States() {
+    }
+
+    /** What a state holds for the next generation. */
+    public record Left(BoxList boxes, String listAddress, Map<Long, Long> toldAt, umberspread.Memory memory,
+            long shift, Map<String, Long> counters) {
+    }
+
+    /** The state of a generation, as of this time on its clock and on the system's monotonic one. */
+    public static State write(Holdings held, umberspread.Memory memory, Map<String, Long> counters,
+            long clock, long monoNanos) {
+        return State.newBuilder().setVersion(VERSION).setLeastReader(LEAST_READER).setClock(clock)
+                .setMonoNanos(monoNanos).setBoxes(boxes(held.boxes(), held.listAddress(), held.toldAt()))
+                .setModule(memory(memory)).putAllCounters(counters).build();
+    }
+
+    /** Reads a state at this time on the reader's clock; null if there is none. */
+    public static Left read(State s, long clock, long monoNanos) throws UnreadableStateException {
+        if (s.getVersion() == 0 && s.getLeastReader() == 0 && !s.hasModule()) {
+            return null;
+        }
+        if (s.getVersion() < OLDEST_READ) {
+            throw new UnreadableStateException("the state's version is " + s.getVersion()
+                    + "; this program reads versions from " + OLDEST_READ + " on");
+        }
+        if (s.getLeastReader() > VERSION) {
+            throw new UnreadableStateException("the state's version is " + s.getVersion() + ", for readers of "
+                    + s.getLeastReader() + " or later; this program's is " + VERSION);
+        }
+        long age = (monoNanos - s.getMonoNanos()) / 1000;
+        if (age < 0) {
+            throw new UnreadableStateException("the state comes from another start of this machine");
+        }
+        // the moment at which the state was written, on the reader's clock, less the same on the writer's
+        long shift = clock - age - s.getClock();
+        try {
+            Map<Long, Long> toldAt = new HashMap<>();
+            for (Box box : s.getBoxes().getBoxesList()) {
+                if (box.getToldAt() != 0) {
+                    toldAt.put(box.getId(), box.getToldAt() + shift);
+                }
+            }
+            return new Left(list(s.getBoxes()), s.getBoxes().getAddress(), toldAt, memory(s.getModule()),
+                    shift, Map.copyOf(s.getCountersMap()));
+        } catch (IllegalArgumentException e) {
+            throw new UnreadableStateException("the state can't be read: " + e.getMessage());
+        }
+    }
+
+    static Sharing sharing(Holdings held) {
+        Sharing.Builder all = Sharing.newBuilder().addAllIds(held.ids())
+                .setBoxes(boxes(held.boxes(), held.listAddress(), held.toldAt()));
+        held.out().forEach(o -> all.addOuts(Out.newBuilder().setToken(o.token()).setBox(o.box())));
+        return all.build();
+    }
+
+    static Holdings holdings(Sharing s) {
+        List<OtherNews.Sent> out = new ArrayList<>();
+        s.getOutsList().forEach(o -> out.add(new OtherNews.Sent(o.getToken(), o.getBox())));
+        return new Holdings(s.getIdsList(), out, list(s.getBoxes()), s.getBoxes().getAddress(), Map.of());
+    }
+
+    static News news(OtherNews n) {
+        News.Builder news = News.newBuilder();
+        if (n instanceof OtherNews.Claim c) {
+            news.setClaim(c.id()).setNumber(c.number());
+        } else if (n instanceof OtherNews.Claimed c) {
+            news.setOf(c.to()).setNumber(c.number());
+            if (c.granted()) {
+                news.setGranted(c.id());
+            } else {
+                news.setDenied(c.id());
+            }
+        } else if (n instanceof OtherNews.Released r) {
+            news.setReleased(r.id());
+        } else if (n instanceof OtherNews.Sent s) {
+            news.setSent(Out.newBuilder().setToken(s.token()).setBox(s.box()));
+        } else if (n instanceof OtherNews.Ended e) {
+            news.setEnded(e.token());
+        } else if (n instanceof OtherNews.Told t) {
+            news.setBoxes(boxes(t.list(), t.address(), Map.of()));
+        }
+        return news.build();
+    }
+
+    /** The news, or null where a later version tells of something that this one doesn't know. */
+    static OtherNews news(News n) {
+        return switch (n.getWhatCase()) {
+            case CLAIM -> new OtherNews.Claim(n.getClaim(), n.getNumber());
+            case GRANTED -> new OtherNews.Claimed(n.getOf(), n.getGranted(), n.getNumber(), true);
+            case DENIED -> new OtherNews.Claimed(n.getOf(), n.getDenied(), n.getNumber(), false);
+            case RELEASED -> new OtherNews.Released(n.getReleased());
+            case SENT -> new OtherNews.Sent(n.getSent().getToken(), n.getSent().getBox());
+            case ENDED -> new OtherNews.Ended(n.getEnded());
+            case BOXES -> new OtherNews.Told(list(n.getBoxes()), n.getBoxes().getAddress());
+            default -> null;
+        };
+    }
+
+    private static Boxes boxes(BoxList list, String address, Map<Long, Long> toldAt) {
+        Boxes.Builder all = Boxes.newBuilder().setVersion(list.version()).setFull(list.full())
+                .setAddress(address == null ? "" : address);
+        for (ModelBox box : list.boxes()) {
+            Replica r = box.replica();
+            all.addBoxes(Box.newBuilder().setName(box.name()).setAddress(box.address()).setId(r.id())
+                    .setSite(r.zone()).setKind(r.kind()).setCell(r.cell()).setWeight(r.weight())
+                    .setLifecycle(r.lifecycle().ordinal()).setStartedAt(r.startedAt())
+                    .setToldAt(toldAt.getOrDefault(r.id(), 0L)));
+        }
+        return all.build();
+    }
+
+    private static BoxList list(Boxes boxes) {
+        List<ModelBox> all = new ArrayList<>();
+        for (Box b : boxes.getBoxesList()) {
+            if (b.getLifecycle() < 0 || b.getLifecycle() >= Lifecycle.values().length) {
+                throw new IllegalArgumentException("box " + b.getName() + " is in an unknown state");
+            }
+            all.add(new ModelBox(b.getName(), b.getAddress(), new Replica(b.getId(), b.getSite(), b.getKind(),
+                    b.getCell(), b.getWeight(), Lifecycle.values()[b.getLifecycle()], b.getStartedAt())));
+        }
+        return new BoxList(boxes.getVersion(), boxes.getFull(), all);
+    }
+
+    private static Memory memory(umberspread.Memory m) {
+        Memory.Builder all = Memory.newBuilder().setUnitWeight(m.unitWeight())
+                .setAverageWorth(m.averageWorth()).setSendTally(m.sendTally()).setReadRate(m.readRate())
+                .setLateShare(m.lateShare()).setShed(m.shed()).setLossShare(m.lossShare())
+                .setUnnamed(m.unnamed()).setPlannedAt(m.plannedAt()).addAllClassTime(m.classTime())
+                .putAllKindTime(m.kindTime()).addAllMunicipalityTally(m.tenantTally())
+                .addAllTaken(m.taken()).addAllFurther(m.further()).addAllPoolArrivals(m.poolArrivals());
+        for (umberspread.Memory.OfReplica r : m.replicas()) {
+            all.addNodes(NodeMemory.newBuilder().setId(r.id()).setPoints(r.points())
+                    .addAllRestUntil(r.restUntil()).addAllStrikes(r.strikes())
+                    .setEjectedUntil(r.ejectedUntil()).setEjections(r.ejections()).setBreaks(r.breaks())
+                    .setSlowUntil(r.slowUntil()).setLastDelay(r.lastDelay())
+                    .setColdBudgetAt(r.coldBudgetAt()).setBudgetedStart(r.budgetedStart()));
+        }
+        for (umberspread.Memory.OfKey k : m.keys()) {
+            all.addKeys(KeyMemory.newBuilder().setKey(k.key()).setTally(k.tally()).setSpread(k.spread())
+                    .setPool(k.pool()));
+        }
+        return all.build();
+    }
+
+    private static umberspread.Memory memory(Memory m) {
+        List<umberspread.Memory.OfReplica> replicas = new ArrayList<>();
+        for (NodeMemory n : m.getNodesList()) {
+            replicas.add(new umberspread.Memory.OfReplica(n.getId(), n.getPoints(), n.getRestUntilList(),
+                    n.getStrikesList(), n.getEjectedUntil(), n.getEjections(), n.getBreaks(),
+                    n.getSlowUntil(), n.getLastDelay(), n.getColdBudgetAt(), n.getBudgetedStart()));
+        }
+        List<umberspread.Memory.OfKey> keys = new ArrayList<>();
+        for (KeyMemory k : m.getKeysList()) {
+            keys.add(new umberspread.Memory.OfKey(k.getKey(), k.getTally(), k.getSpread(), k.getPool()));
+        }
+        return new umberspread.Memory(m.getUnitWeight(), m.getAverageWorth(), m.getSendTally(),
+                m.getReadRate(), m.getLateShare(), m.getShed(), m.getLossShare(), m.getUnnamed(),
+                m.getPlannedAt(), m.getClassTimeList(), m.getKindTimeMap(), m.getMunicipalityTallyList(),
+                m.getTakenList(), m.getFurtherList(), replicas, keys, m.getPoolArrivalsList());
+    }
+}
--- a/src/main/java/yewdock/desk/Clients.java
+++ b/src/main/java/yewdock/desk/Clients.java
@@ -32,6 +32,7 @@
     private final Map<Long, Long> awaited = new LinkedHashMap<>();
     /** Those that have had their answer and asked nothing since, with that time: longest quiet first. */
     private final Map<Long, Long> quiet = new LinkedHashMap<>();
+    private boolean hurried;
     private long sweepAt = Long.MAX_VALUE;
 
     Clients(int most, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects) {
@@ -78,6 +79,13 @@
         quiet.remove(client);
     }
 
+    /** Quiet connections are closed soon, or kept as ever: their clients are to come to another process. */
+    void hurry(boolean soon) {
+        hurried = soon;
+        sweepAt = Long.MAX_VALUE;
+        sweep();
+    }
+
     int count() {
         return all.size();
     }
@@ -96,7 +104,7 @@
 
     /** Closes what has been waited for long enough, and sets the timer for the next. */
     private void sweep() {
-        long keep = all.size() > most / ROOMY_PART ? KEEP_SHORT : KEEP;
+        long keep = hurried || all.size() > most / ROOMY_PART ? KEEP_SHORT : KEEP;
         long next = Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
                 closeSince(quiet, keep, "clients.closed_quiet"));
         if (next < sweepAt) {
--- a/src/main/java/yewdock/desk/Counters.java
+++ b/src/main/java/yewdock/desk/Counters.java
@@ -12,6 +12,16 @@
         counts.merge(name, 1L, Long::sum);
     }
 
+    /** Counts so many more. */
+    public void add(String name, long more) {
+        counts.merge(name, more, Long::sum);
+    }
+
+    /** All counts, as they are now. */
+    public Map<String, Long> all() {
+        return Map.copyOf(counts);
+    }
+
     public long get(String name) {
         return counts.getOrDefault(name, 0L);
     }
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -51,6 +51,9 @@
     private final Timers timers = new Timers();
     private final Clients clients;
     private final ListWatch watch;
+    private final Others others;
+    /** When the state of each box was last told as another than before. */
+    private final Map<Long, Long> toldAt = new HashMap<>();
     private final Map<Long, ModelBox> boxes = new HashMap<>();
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Map<Long, Owed> ofClient = new HashMap<>();
@@ -67,6 +70,8 @@
     private long lastLine;
     private int heldBytes;
     private boolean leaving;
+    private boolean lettingGo;
+    private long letGoUntil;
     private long leaveAt;
     private boolean stopped;
 
@@ -149,6 +154,7 @@
                 effect -> effects.add(effect));
         this.watch = new ListWatch(() -> now, timers, counters, effect -> effects.add(effect),
                 this::listFailed);
+        this.others = new Others(() -> now, timers, counters, effect -> effects.add(effect), new Door());
         this.module = makeModule.apply(new Collector());
     }
 
@@ -162,6 +168,11 @@
             stopped = true;
             effects.add(new Effect.Stop());
         }
+        if (lettingGo && !stopped && owed.isEmpty() && !others.claiming()
+                && (clients.count() == 0 || now >= letGoUntil)) {
+            stopped = true;
+            effects.add(new Effect.Stop());
+        }
         return effects;
     }
 
@@ -178,13 +189,38 @@
     /** How much is kept of requests, clients, lines and times to come: at rest, as much as at the start. */
     public int kept() {
         return owed.size() + ofClient.size() + byName.size() + lines.size() + idle.size() + boxes.size()
-                + clients.count() + timers.size() + tellings.size() + askings.size();
+                + clients.count() + timers.size() + tellings.size() + askings.size() + others.kept()
+                + toldAt.size();
     }
 
     public boolean leaving() {
         return leaving;
     }
 
+    /** Whether another generation serves new connections, and this one only finishes. */
+    public boolean lettingGo() {
+        return lettingGo;
+    }
+
+    /** When an earlier generation was told of the boxes' states; what is known already stands. */
+    public void recallTold(Map<Long, Long> earlier) {
+        earlier.forEach((box, at) -> toldAt.computeIfPresent(box, (id, since) -> Math.min(since, at)));
+    }
+
+    /** What this generation holds that no other may double. */
+    public Holdings holdings() {
+        List<String> ids = new ArrayList<>(byName.keySet());
+        ids.addAll(others.claimed());
+        List<OtherNews.Sent> out = new ArrayList<>();
+        for (Owed o : owed.values()) {
+            if (o.out != null) {
+                out.add(new OtherNews.Sent(o.id, o.out.box));
+            }
+        }
+        return new Holdings(ids, out, new BoxList(watch.version(), true, List.copyOf(boxes.values())),
+                watch.address(), toldAt);
+    }
+
     private void take(Event event) {
         if (event instanceof Event.Piece e) {
             piece(e);
@@ -224,6 +260,21 @@
             started(e);
         } else if (event instanceof Event.ListMoved e) {
             watch.move(e.address());
+        } else if (event instanceof Event.FromOther e) {
+            fromOther(e.who(), e.news());
+        } else if (event instanceof Event.Share) {
+            effects.add(new Effect.ShareOut(holdings()));
+            others.share();
+        } else if (event instanceof Event.Adopt e) {
+            adopt(e.who(), e.held());
+        } else if (event instanceof Event.OtherGone e) {
+            others.gone(e.who()).forEach(token -> otherEnded(e.who(), token));
+        } else if (event instanceof Event.LetGo e) {
+            letGo(e.limit());
+        } else if (event instanceof Event.TakeBack) {
+            lettingGo = false;
+            clients.hurry(false);
+            others.own();
         } else if (event instanceof Event.Leave) {
             leave();
         }
@@ -321,17 +372,31 @@
         counters.add("requests.taken");
         clients.asked(e.client());
         ModelRequest r = e.request();
-        if (byName.containsKey(r.id())) {
-            counters.add("answers.twin");
-            effects.add(new Effect.TurnDownTwin(e.client()));
-            return;
+        if (byName.containsKey(r.id()) || others.holds(r.id())) {
+            twin(e);
+        } else if (others.asking()) {
+            others.claim(e);
+        } else {
+            admit(e, 0);
         }
+    }
+
+    private void twin(Event.Asked e) {
+        counters.add("answers.twin");
+        effects.add(new Effect.TurnDownTwin(e.client()));
+    }
+
+    /** Takes a request that has waited so long to be taken. */
+    private void admit(Event.Asked e, long waited) {
+        ModelRequest r = e.request();
         if (owed.size() >= bounds.requests() || heldBytes + r.size() > bounds.bytes()) {
             counters.add("answers.refused_for_room");
             effects.add(new Effect.Refuse(e.client(), 0));
+            release(r.id());
             return;
         }
-        Owed o = new Owed(++lastRequest, r.id(), e.client(), r.size(), now + r.patience());
+        long patience = Math.max(0, r.patience() - waited);
+        Owed o = new Owed(++lastRequest, r.id(), e.client(), r.size(), now + patience);
         heldBytes += o.size;
         owed.put(o.id, o);
         byName.put(o.name, o);
@@ -339,11 +404,12 @@
         timers.at(o.deadline + ANSWER_SLACK, () -> overdue(o));
         tell(o.id, () -> module.requestArrived(now, new Routing.Request(o.id, r.requestClass(),
                 r.municipality(), r.repeat(), r.session(), r.sharedBeginning(), r.promptTokens(),
-                r.beginningTokens(), r.mostTokens(), r.patience())));
+                r.beginningTokens(), r.mostTokens(), patience)));
     }
 
     private void clientLeft(Event.ClientLeft e) {
         clients.left(e.client());
+        others.clientLeft(e.client());
         Owed o = ofClient.get(e.client());
         if (o != null) {
             counters.add(o.begun ? "answers.left_midway" : "answers.left_before");
@@ -405,6 +471,13 @@
         if (o.over && o.out == null) {
             owed.remove(o.id);
             byName.remove(o.name);
+            release(o.name);
+        }
+    }
+
+    private void release(String id) {
+        if (others.asking()) {
+            effects.add(new Effect.TellOthers(new OtherNews.Released(id)));
         }
     }
 
@@ -467,6 +540,9 @@
         line.current = t;
         t.line = line;
         counters.add("tries.sent");
+        if (others.asking()) {
+            effects.add(new Effect.TellOthers(new OtherNews.Sent(t.owed.id, t.box)));
+        }
         effects.add(new Effect.SendTry(line.id, t.owed.client, t.until - now));
     }
 
@@ -506,6 +582,9 @@
         counters.add("tries." + outcome.name().toLowerCase(Locale.ROOT));
         if (o.out == t) {
             o.out = null;
+            if (others.asking()) {
+                effects.add(new Effect.TellOthers(new OtherNews.Ended(o.id)));
+            }
         }
         long took = now - t.sentAt;
         boolean over = o.over;
@@ -755,31 +834,36 @@
     private void started(Event.Started e) {
         BoxList known = e.known();
         watch.begin(e.listAddress(), known.version());
-        for (ModelBox box : known.boxes()) {
-            boxes.put(box.id(), box);
-        }
+        keep(known);
         tell(0, () -> module.started(now));
         tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(known)));
     }
 
     private void listCame(BoxList list) {
+        if (others.any()) {
+            effects.add(new Effect.TellOthers(new OtherNews.Told(list, watch.address())));
+        }
+        keep(list);
+        closeIdleToLeavers();
+        if (watch.came(list)) {
+            tell(0, () -> module.listReceived(now, list.full() ? ListKind.FULL : ListKind.DELTA,
+                    replicas(list)));
+        }
+    }
+
+    private void keep(BoxList list) {
         if (list.full()) {
             Set<Long> named = new HashSet<>();
             list.boxes().forEach(box -> named.add(box.id()));
             boxes.keySet().removeIf(id -> !named.contains(id));
         }
         for (ModelBox box : list.boxes()) {
-            if (box.isGone()) {
-                boxes.remove(box.id());
-            } else {
-                boxes.put(box.id(), box);
+            ModelBox before = box.isGone() ? boxes.remove(box.id()) : boxes.put(box.id(), box);
+            if (before == null || before.replica().lifecycle() != box.replica().lifecycle()) {
+                toldAt.put(box.id(), now);
             }
         }
-        closeIdleToLeavers();
-        if (watch.came(list)) {
-            tell(0, () -> module.listReceived(now, list.full() ? ListKind.FULL : ListKind.DELTA,
-                    replicas(list)));
-        }
+        toldAt.keySet().retainAll(boxes.keySet());
     }
 
     /** The module decides when to call again: it backs off while the service is down. */
@@ -807,6 +891,108 @@
         return list.boxes().stream().map(ModelBox::replica).toList();
     }
 
+    // ---- other generations
+
+    private final class Door implements Others.Door {
+        @Override
+        public void admit(Event.Asked asked, long waited) {
+            Desk.this.admit(asked, waited);
+        }
+
+        @Override
+        public void twin(Event.Asked asked) {
+            Desk.this.twin(asked);
+        }
+
+        @Override
+        public void turnAway(Event.Asked asked) {
+            counters.add("answers.refused");
+            effects.add(new Effect.Refuse(asked.client(), 0));
+        }
+    }
+
+    private void fromOther(int who, OtherNews news) {
+        if (news instanceof OtherNews.Claim n) {
+            others.claimedBy(who, n, byName.containsKey(n.id()));
+        } else if (news instanceof OtherNews.Claimed n) {
+            others.answered(n);
+        } else if (news instanceof OtherNews.Released n) {
+            others.released(who, n.id());
+        } else if (news instanceof OtherNews.Sent n) {
+            others.sent(who, n.token());
+            tell(0, () -> module.otherSent(now, who + "/" + n.token(), n.box()));
+        } else if (news instanceof OtherNews.Ended n) {
+            others.ended(who, n.token());
+            otherEnded(who, n.token());
+        } else if (news instanceof OtherNews.Told n) {
+            toldByOther(n.list(), n.address());
+        }
+    }
+
+    private void otherEnded(int who, long token) {
+        tell(0, () -> module.otherEnded(now, who + "/" + token));
+    }
+
+    private void adopt(int who, Holdings held) {
+        others.gone(who).forEach(token -> otherEnded(who, token));
+        others.adopt(who, held);
+        for (OtherNews.Sent sent : held.out()) {
+            tell(0, () -> module.otherSent(now, who + "/" + sent.token(), sent.box()));
+        }
+        toldByOther(held.boxes(), held.listAddress());
+    }
+
+    /**
+     * A drain told to one generation is kept by all at once. Only what ends work at a box is taken up, and
+     * only news: this generation's own watch goes on from where it stands, and tells the rest.
+     */
+    private void toldByOther(BoxList list, String address) {
+        if (!address.equals(watch.address()) || list.version() <= watch.version()) {
+            return;
+        }
+        List<ModelBox> ending = new ArrayList<>();
+        Set<Long> named = new HashSet<>();
+        for (ModelBox box : list.boxes()) {
+            named.add(box.id());
+            if (!box.takesWork() && boxes.containsKey(box.id())) {
+                ending.add(box);
+            }
+        }
+        for (ModelBox box : boxes.values()) {
+            if (list.full() && !named.contains(box.id())) {
+                Routing.Replica r = box.replica();
+                ending.add(new ModelBox(box.name(), "", new Routing.Replica(r.id(), r.zone(), r.kind(),
+                        r.cell(), r.weight(), Routing.Lifecycle.GONE, r.startedAt())));
+            }
+        }
+        if (!ending.isEmpty()) {
+            BoxList news = new BoxList(watch.version(), false, ending);
+            keep(news);
+            closeIdleToLeavers();
+            // As an answer of the list's own it would make the module believe that it watches the list already,
+            // and a generation that has not asked yet never would.
+            BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.values()));
+            tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(all)));
+        }
+    }
+
+    /** Clients are led away between requests; what is open runs to its end, or to the limit. */
+    private void letGo(long limit) {
+        lettingGo = true;
+        letGoUntil = now + limit;
+        clients.hurry(true);
+        long until = letGoUntil;
+        timers.at(until, () -> {
+            if (lettingGo && letGoUntil == until) {
+                List.copyOf(owed.values()).forEach(o -> {
+                    counters.add("answers.over_the_limit");
+                    failNow(o, Outcome.CANCELLED);
+                    tell(o.id, () -> module.requestGone(now, o.id));
+                });
+            }
+        });
+    }
+
     // ---- leaving
 
     /** Serving goes on: new connections come for a while, and what was taken is still owed its answer. */
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -60,6 +60,14 @@
     record CloseIdleClients() implements Effect {
     }
 
+    /** Tell this router's other generations. */
+    record TellOthers(OtherNews news) implements Effect {
+    }
+
+    /** Tell the generation that takes over what this one holds. */
+    record ShareOut(Holdings held) implements Effect {
+    }
+
     /** A line for the operator. */
     record Log(String line) implements Effect {
     }
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -74,6 +74,30 @@
     record ListFailed() implements Event {
     }
 
+    /** Another generation of this router is about to take over: it owns the ids from now on. */
+    record Share() implements Event {
+    }
+
+    /** What another generation holds; it takes the place of what was known of that one. */
+    record Adopt(int who, Holdings held) implements Event {
+    }
+
+    /** Another generation tells something. */
+    record FromOther(int who, OtherNews news) implements Event {
+    }
+
+    /** Another generation has ended, and what it had out with it. */
+    record OtherGone(int who) implements Event {
+    }
+
+    /** Another generation serves: no new connections come, the rest ends by itself or after so long. */
+    record LetGo(long limit) implements Event {
+    }
+
+    /** The generation that was to take over is gone: this one owns the ids and serves as before. */
+    record TakeBack() implements Event {
+    }
+
     /** The router is to leave. */
     record Leave() implements Event {
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -51,6 +51,14 @@
         ask(0);
     }
 
+    String address() {
+        return address;
+    }
+
+    long version() {
+        return version;
+    }
+
     /** The module wants the list, and all changes from now on. */
     void follow() {
         asked = true;
--- /dev/null
+++ b/src/main/java/yewdock/log/Say.java
@@ -0,0 +1,62 @@
+package yewdock.log;
+
+import java.util.Map;
+import org.tinylog.Level;
+import org.tinylog.Logger;
+import org.tinylog.ThreadContext;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * Lines for the operator: an event's name and its fields. As text they follow the name as field=value; as JSON
+ * they are fields of the line's object, so that one request or one upgrade can be followed by its number.
+ */
+public final class Say {
+    /** How lines are written. */
+    public enum Form { TEXT, JSON }
+
+    private Say() {
+    }
+
+    /** Sets the form of all lines; only before the first of them. */
+    public static void as(Form form) {
+        if (form == Form.JSON) {
+            Configuration.set("writer", JsonLines.class.getName());
+        }
+    }
+
+    /** A line with fields given as name and value by turns. */
+    public static void info(String event, Object... fields) {
+        say(Level.INFO, event, Fields.of(fields));
+    }
+
+    /** A line that tells of trouble. */
+    public static void warn(String event, Object... fields) {
+        say(Level.WARN, event, Fields.of(fields));
+    }
+
+    /** A line with these fields. */
+    public static void info(String event, Map<String, Object> fields) {
+        say(Level.INFO, event, fields);
+    }
+
+    private static void say(Level level, String event, Map<String, Object> fields) {
+        StringBuilder text = new StringBuilder(event);
+        fields.forEach((name, value) -> {
+            String word = String.valueOf(value);
+            text.append(' ').append(name).append('=');
+            text.append(word.isEmpty() || word.matches(".*[\\s\"=].*")
+                    ? '"' + word.replace("\"", "'").replace("\n", " ") + '"' : word);
+        });
+        ThreadContext.put("event", event);
+        fields.forEach((name, value) -> ThreadContext.put(name, String.valueOf(value)));
+        try {
+            if (level == Level.WARN) {
+                Logger.warn("{}", text);
+            } else {
+                Logger.info("{}", text);
+            }
+        } finally {
+            ThreadContext.clear();
+        }
+    }
+}
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
@@ -29,6 +30,8 @@
     private final Names names;
     private final LongSupplier clock;
     private final Consumer<String> log;
+    /** Takes the effects that concern other generations; without them there is nobody to tell. */
+    private Consumer<Effect> others = effect -> { };
     private final Map<Long, ClientSide> clients = new LinkedHashMap<>();
     private final Map<Long, BoxSide> lines = new HashMap<>();
     private ListSide list;
@@ -53,7 +56,17 @@
 
     /** The first event: the configuration tells what is known. */
     public void start() {
-        happened(new Event.Started(config.known(), config.discovery()));
+        start(config.known());
+    }
+
+    /** The first event, with a list that is newer than the configuration's. */
+    public void start(BoxList known) {
+        happened(new Event.Started(known, config.discovery()));
+    }
+
+    /** Where the effects go that concern other generations of this router. */
+    public void tellOthersBy(Consumer<Effect> teller) {
+        others = teller;
     }
 
     /** A new configuration: what can be taken while requests are open is, the rest is named in the log. */
@@ -94,6 +107,11 @@
         // A request half read when the desk owes nothing would be lost by stopping now.
         if (stopAsked && clients.values().stream().noneMatch(ClientSide::midway)) {
             stopAsked = false;
+            if (list != null && desk.lettingGo()) {
+                // what the list tells from now on would be told to nobody
+                list.hangUp();
+                list = null;
+            }
             wires.stop();
         }
     }
@@ -155,6 +173,8 @@
         } else if (effect instanceof Effect.CloseIdleClients) {
             closing = true;
             List.copyOf(clients.values()).forEach(ClientSide::closeIfIdle);
+        } else if (effect instanceof Effect.TellOthers || effect instanceof Effect.ShareOut) {
+            others.accept(effect);
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.line());
         } else if (effect instanceof Effect.Stop) {
@@ -204,7 +224,7 @@
 
     /** Whether answers should tell clients to close, and idle ones be closed. */
     boolean leaving() {
-        return desk.leaving();
+        return desk.leaving() || desk.lettingGo();
     }
 
     boolean closingIdle() {
--- /dev/null
+++ b/src/main/java/yewdock/proof/Router.java
@@ -0,0 +1,155 @@
+package yewdock.proof;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import yewdock.daemon.Operator;
+
+/** A daemon in a process of its own, with its log, for proofs and tests. */
+public final class Router implements Closeable {
+    private static final long ANSWER_MILLIS = 60_000;
+    private static final long END_SECONDS = 30;
+    private static final int TERMINATED = 128 + 15;
+
+    private final Path folder;
+    private final Process process;
+    private final List<String> log = new ArrayList<>();
+    private final CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
+
+    private Router(Path folder, Process process) {
+        this.folder = folder;
+        this.process = process;
+    }
+
+    /**
+     * Starts a daemon, whose program has this main class, with its files in this folder, the platform's configuration as given, and the words
+     * of an upgrade block; returns once it listens and its first generation serves.
+     */
+    public static Router start(String main, Path folder, String configuration, String upgradeBlock) throws IOException {
+        Path config = Files.writeString(folder.resolve("config.json"), configuration);
+        Path operator = Files.writeString(folder.resolve("operator.hcl"), "daemon {\n  config = \"" + config
+                + "\"\n  control = \"" + folder.resolve("run") + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n");
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx32m", "-cp",
+                System.getProperty("java.class.path"), main, "daemon", "--settings",
+                operator.toString()).redirectErrorStream(true).start();
+        Router router = new Router(folder, process);
+        Thread reader = new Thread(router::readLog, "daemon log");
+        reader.setDaemon(true);
+        reader.start();
+        if (router.await(line -> line.contains("upgrade.done")) == null) {
+            throw new IOException("the daemon did not come up:\n" + router.log());
+        }
+        return router;
+    }
+
+    private void readLog() {
+        try (BufferedReader lines = process.inputReader()) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                synchronized (log) {
+                    log.add(line);
+                    log.notifyAll();
+                }
+                int at = line.indexOf("keeper.listens address=/");
+                if (at >= 0) {
+                    String where = line.substring(at + 24).split(" ")[0];
+                    int colon = where.lastIndexOf(':');
+                    address.complete(new InetSocketAddress(where.substring(0, colon),
+                            Integer.parseInt(where.substring(colon + 1))));
+                }
+            }
+        } catch (IOException e) {
+            // the process has ended
+        }
+        synchronized (log) {
+            log.notifyAll();
+        }
+    }
+
+    /** Waits for a line of the log, also one that has come before; null if the daemon ends without it. */
+    public String await(Predicate<String> wanted) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS);
+        synchronized (log) {
+            int seen = 0;
+            while (true) {
+                for (; seen < log.size(); seen++) {
+                    if (wanted.test(log.get(seen))) {
+                        return log.get(seen);
+                    }
+                }
+                long left = (end - System.nanoTime()) / 1_000_000;
+                if (left <= 0 || !process.isAlive() && seen == log.size()) {
+                    return null;
+                }
+                try {
+                    log.wait(Math.min(left, 100));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return null;
+                }
+            }
+        }
+    }
+
+    /** All lines so far. */
+    public String log() {
+        synchronized (log) {
+            return String.join("\n", log);
+        }
+    }
+
+    public InetSocketAddress address() {
+        return address.join();
+    }
+
+    public Path folder() {
+        return folder;
+    }
+
+    /** The keeper's process. */
+    public ProcessHandle process() {
+        return process.toHandle();
+    }
+
+    /** The processes of its generations, oldest first. */
+    public List<ProcessHandle> generations() {
+        return process.toHandle().children().sorted((a, b) -> Long.compare(a.pid(), b.pid())).toList();
+    }
+
+    /** What an operator's command brings: its lines, and last its exit code. */
+    public Said ask(String command, List<String> words) throws IOException {
+        List<String> lines = new ArrayList<>();
+        int exit = Operator.ask(folder.resolve("run"), command, words, ANSWER_MILLIS, lines::add);
+        return new Said(String.join("\n", lines), exit);
+    }
+
+    /** Lines and exit code of a command. */
+    public record Said(String lines, int exit) {
+    }
+
+    /** SIGTERM; tells whether it ended by itself and in time, as a JVM does after that signal. */
+    public boolean leave() {
+        process.destroy();
+        try {
+            return process.waitFor(END_SECONDS, TimeUnit.SECONDS) && process.exitValue() == TERMINATED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Ends it and its generations at once. */
+    @Override
+    public void close() {
+        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        process.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/yewdock/settings/OperatorSettings.java
@@ -0,0 +1,106 @@
+package yewdock.settings;
+
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The operator's own settings, read from HCL. Either all of a file is taken or none of it. Durations are
+ * microseconds here and seconds in the file.
+ */
+public record OperatorSettings(Daemon daemon, Upgrade upgrade, Log log) {
+    private static final double LONGEST_STAGE = 600;
+    private static final double LONGEST_FINISH = 86_400;
+
+    /**
+     * How the daemon runs: the platform's configuration file, the folder of the control socket, the class path
+     * of a generation (empty: that of the daemon itself) and the flags of its JVM.
+     */
+    public record Daemon(Path config, Path control, String program, List<String> java) {
+        public Daemon {
+            java = List.copyOf(java);
+        }
+    }
+
+    /** How long the stages of an upgrade may take, and the old generation after it. */
+    public record Upgrade(long start, long check, long state, long ready, long take, long share, long go, long letGo,
+            long finish, int mostFinishing) {
+    }
+
+    /** The form of log lines: text or json. */
+    public record Log(String form) {
+    }
+
+    /** What holds where a file says nothing. */
+    public static OperatorSettings defaults() {
+        List<String> mistakes = new ArrayList<>();
+        return of(new Section("", Map.of(), mistakes));
+    }
+
+    /** Reads a file; throws with one line for each mistake. */
+    public static OperatorSettings read(Path file) throws IOException, BadSettingsException {
+        return parse(file.toString(), Files.readString(file));
+    }
+
+    /** Reads a text that came from there. */
+    public static OperatorSettings parse(String where, String text) throws BadSettingsException {
+        Map<String, Object> values;
+        try {
+            values = new HCLParser().parse(text);
+        } catch (HCLParserException | IOException | RuntimeException e) {
+            String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("").strip();
+            throw new BadSettingsException(List.of(where + ": not HCL: " + why));
+        }
+        List<String> mistakes = new ArrayList<>();
+        // the parser takes some texts that are no HCL for empty ones
+        boolean saysSomething = text.lines().map(String::strip)
+                .anyMatch(l -> !l.isEmpty() && !l.startsWith("#") && !l.startsWith("//"));
+        if (values.isEmpty() && saysSomething && !text.contains("/*")) {
+            mistakes.add(where + ": not HCL: nothing in it can be read");
+        }
+        braces(where, text, mistakes);
+        OperatorSettings settings = of(new Section(where + ": ", values, mistakes));
+        if (!mistakes.isEmpty()) {
+            throw new BadSettingsException(mistakes);
+        }
+        return settings;
+    }
+
+    /** The parser closes blocks by itself that the text leaves open. */
+    private static void braces(String where, String text, List<String> mistakes) {
+        String bare = text.replaceAll("\"(?:[^\"\\\\\n]|\\\\.)*\"", "").replaceAll("(?m)(#|//).*$", "");
+        long open = bare.chars().filter(c -> c == '{').count();
+        long closed = bare.chars().filter(c -> c == '}').count();
+        if (open != closed) {
+            mistakes.add(where + ": not HCL: " + open + " blocks are opened and " + closed + " closed");
+        }
+    }
+
+    private static OperatorSettings of(Section all) {
+        Section d = all.section("daemon");
+        Daemon daemon = new Daemon(Path.of(d.text("config", "deploy/local.json")),
+                Path.of(d.text("control", "run")), d.text("program", ""),
+                d.texts("java", List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx80m")));
+        d.nothingElse();
+        Section u = all.section("upgrade");
+        Upgrade upgrade = new Upgrade(stage(u, "start_s", 20), stage(u, "check_s", 10), stage(u, "state_s", 5),
+                stage(u, "ready_s", 10), stage(u, "take_s", 5), stage(u, "share_s", 1), stage(u, "go_s", 1),
+                stage(u, "let_go_s", 2),
+                u.seconds("finish_s", 600, 1, LONGEST_FINISH), u.whole("most_finishing", 4, 1, 64));
+        u.nothingElse();
+        Section l = all.section("log");
+        Log log = new Log(l.oneOf("form", "text", List.of("text", "json")));
+        l.nothingElse();
+        all.nothingElse();
+        return new OperatorSettings(daemon, upgrade, log);
+    }
+
+    private static long stage(Section u, String key, double byDefault) {
+        return u.seconds(key, byDefault, 0.1, LONGEST_STAGE);
+    }
+}
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -2,8 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ProtocolFamily;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.Pipe;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.channels.spi.AbstractSelector;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
@@ -59,9 +67,9 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final NioSocketAcceptor acceptor;
+    private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector;
-    private final Semaphore room;
+    private final Room room;
     private final Semaphore queueRoom = new Semaphore(MOST_QUEUED);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Clock clock = new Clock();
@@ -71,9 +79,21 @@
     private record Task(SessionWire wire, Runnable work) {
     }
 
+    private static final class Room extends Semaphore {
+        private static final long serialVersionUID = 1;
+
+        Room(int permits) {
+            super(permits);
+        }
+
+        void less(int permits) {
+            reducePermits(permits);
+        }
+    }
+
     /** Sockets for so many clients at once. */
     public Sockets(int mostClients) {
-        room = new Semaphore(mostClients + CLOSING_CLIENTS);
+        room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
         NioProcessor processor = new NioProcessor(threads);
         acceptor = new BoundedAcceptor(threads, processor);
@@ -103,6 +123,40 @@
         front.start();
         acceptor.bind(Addresses.of(address));
         Logger.info("listens on {}", acceptor.getLocalAddress());
+        loop(desk);
+    }
+
+    /** Serves until told to stop, but takes no connections before {@link #accept}. */
+    public void serveLater(Runnable start, Front front, Desk desk) {
+        this.front = front;
+        start.run();
+        loop(desk);
+    }
+
+    /** Has the desk's thread do this, after all that has come before it; any thread may call it. */
+    public void post(Runnable work) {
+        queue.add(new Task(null, work));
+    }
+
+    /**
+     * Takes connections from a listener that others may take them from too. Ours to stop with, never to close:
+     * what waits in its queue is for whoever accepts next. Called on the desk's thread.
+     */
+    public void accept(ServerSocketChannel listener) throws IOException {
+        acceptor.shared = listener;
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.bind(listener.getLocalAddress());
+    }
+
+    /** Takes no more connections; those that are there go on. Called on the desk's thread. */
+    public void stopAccepting() {
+        // the acceptor's thread may be waiting for room, and unbinding waits for it
+        room.release(Short.MAX_VALUE);
+        acceptor.unbind();
+        room.less(Short.MAX_VALUE);
+    }
+
+    private void loop(Desk desk) {
         while (!stopped) {
             long wait = Math.min(desk.nextDue() - clock.getAsLong(), LONGEST_SLEEP);
             try {
@@ -168,8 +222,81 @@
         }
     }
 
+    /** Remembers the selector that MINA keeps to itself: a shared listener must be registered with it. */
+    private static final class KnownSelectors extends SelectorProvider {
+        private final SelectorProvider real = SelectorProvider.provider();
+        private AbstractSelector made;
+
+        @Override
+        public AbstractSelector openSelector() throws IOException {
+            made = real.openSelector();
+            return made;
+        }
+
+        @Override
+        public ServerSocketChannel openServerSocketChannel() throws IOException {
+            return real.openServerSocketChannel();
+        }
+
+        @Override
+        public SocketChannel openSocketChannel() throws IOException {
+            return real.openSocketChannel();
+        }
+
+        @Override
+        public DatagramChannel openDatagramChannel() throws IOException {
+            return real.openDatagramChannel();
+        }
+
+        @Override
+        public DatagramChannel openDatagramChannel(ProtocolFamily family) throws IOException {
+            return real.openDatagramChannel(family);
+        }
+
+        @Override
+        public Pipe openPipe() throws IOException {
+            return real.openPipe();
+        }
+    }
+
     /** Accepts a connection only when there is room for it; until then it waits in the system's queue. */
     private final class BoundedAcceptor extends NioSocketAcceptor {
+        // set by init, which the constructor above this one calls: no initial value may wipe it out
+        private KnownSelectors selectors;
+        private volatile ServerSocketChannel shared;
+
+        @Override
+        protected void init(SelectorProvider none) throws Exception {
+            selectors = new KnownSelectors();
+            super.init(selectors);
+        }
+
+        @Override
+        protected ServerSocketChannel open(SocketAddress address) throws Exception {
+            if (shared == null) {
+                return super.open(address);
+            }
+            // a key cancelled by an earlier stop must be gone before the listener is registered anew
+            selectors.made.selectNow();
+            shared.configureBlocking(false);
+            shared.register(selectors.made, SelectionKey.OP_ACCEPT);
+            return shared;
+        }
+
+        /** Closing a shared listener would take the descriptors of standard output along, too. */
+        @Override
+        protected void close(ServerSocketChannel listening) throws Exception {
+            if (listening != shared) {
+                super.close(listening);
+                return;
+            }
+            SelectionKey key = listening.keyFor(selectors.made);
+            if (key != null) {
+                key.cancel();
+            }
+            selectors.made.wakeup();
+        }
+
         BoundedAcceptor(Executor threads, IoProcessor<NioSession> processor) {
             super(threads, processor);
         }
@@ -180,6 +307,7 @@
             room.acquire();
             NioSession session = null;
             try {
+                // null, where another process was quicker to take the connection
                 session = super.accept(processor, listening);
             } finally {
                 if (session == null) {
--- /dev/null
+++ b/src/main/java/yewdock/standin/Reference.java
@@ -0,0 +1,38 @@
+package yewdock.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** The stream that a stand-in answers a request with: a function of the request's id alone, for both sides. */
+public final class Reference {
+    private static final int WORD = 5;
+
+    private Reference() {
+    }
+
+    /** The stream's events, in their order: so many tokens, the usage, the end. */
+    public static List<String> events(String id, int tokens) {
+        List<String> events = new ArrayList<>();
+        long h = id.hashCode() * 0x9e3779b97f4a7c15L + 1;
+        for (int i = 0; i < tokens; i++) {
+            StringBuilder word = new StringBuilder();
+            for (int k = 0; k < WORD; k++) {
+                h = h * 6364136223846793005L + 1442695040888963407L;
+                word.append((char) ('a' + (h >>> 33) % 26));
+            }
+            events.add("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + word
+                    + "\"},\"finish_reason\":" + (i + 1 == tokens ? "\"stop\"" : "null") + "}]}\n\n");
+        }
+        events.add(String.format(Locale.ROOT, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,"
+                + "\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\n", 100, tokens,
+                Math.floorMod(id.hashCode(), 100)));
+        events.add("data: [DONE]\n\n");
+        return events;
+    }
+
+    /** The whole stream. */
+    public static String stream(String id, int tokens) {
+        return String.join("", events(id, tokens));
+    }
+}
