--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -18,7 +18,7 @@
 import umberspread.Routing.Settings;
 
 /**
- * Every routing decision of one gateway. What is not private is {@link GenerationRouter}'s. The interface, with its events and actions, is Routing.java.
+ * Every routing decision of one gateway. The interface, with its events and actions, is Routing.java.
  *
  * <p>A request's path: {@link #requestArrived} takes it; {@link #dispatch} asks {@link #pick} for a replica
  * and sends an attempt, or holds the request; {@link #attemptEnded} settles it, or sends it to the next ring
--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -36,7 +36,8 @@
     }
 
     /** A router that goes on with a memory, whose times are moved by shift. */
-    public GenerationRouter(Settings settings, long seed, Routing.Actions actions, Memory memory, long shift) {
+    public GenerationRouter(Settings settings, long seed, Routing.Actions actions, Memory memory,
+            long shift) {
         this.router = new BoundedLoadRouter(settings, seed, actions);
         this.memory = memory;
         this.shift = shift;
--- a/src/main/java/umberspread/Memory.java
+++ b/src/main/java/umberspread/Memory.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * What a router has learnt and another of the same gateway may go on with. Times are microseconds on the clock
- * of the one that learnt it. Open requests are no part of it: they stay where they were taken.
+ * What a router has learnt and another of the same gateway may go on with. Times are microseconds on the
+ * clock of the one that learnt it. Open requests are no part of it: they stay where they were taken.
  */
 public record Memory(double unitWeight, double averageWorth, double sendTally, double readRate,
         double lateShare, double shed, double lossShare, double unnamed, long plannedAt,
--- a/src/main/java/umberspread/Routing.java
+++ b/src/main/java/umberspread/Routing.java
@@ -209,8 +209,8 @@
         void woken(long now, int token);
 
         /**
-         * Another process of this gateway has a request out at a replica: it counts as the gateway's own load.
-         * token is the other's name for it, and never that of a request of this one.
+         * Another process of this gateway has a request out at a replica: it counts as the gateway's own
+         * load. token is the other's name for it, and never that of a request of this one.
          */
         default void otherSent(long now, String token, long replicaId) {
         }
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -178,8 +178,9 @@
         }
     }
 
-    @Command(name = "demo", mixinStandardHelpOptions = true, description = "A box list, boxes, a router and a "
-            + "little load on this machine, with one upgrade in the middle; prints what came of it.")
+    @Command(name = "demo", mixinStandardHelpOptions = true,
+            description = "A box list, boxes, a router and a little load on this machine, "
+            + "with one upgrade in the middle; prints what came of it.")
     static final class Demo implements Callable<Integer> {
         private static final int HALF_MILLIS = 2_000;
 
@@ -242,7 +243,8 @@
             load.stop();
             System.out.println(Load.summary(ledger.atClients()));
             if (records != null) {
-                StringBuilder all = new StringBuilder("id,end,status,exact,sent_anew,began_ns,first_ns,ended_ns\n");
+                StringBuilder all = new StringBuilder("id,end,status,exact,sent_anew,began_ns,");
+                all.append("first_ns,ended_ns\n");
                 ledger.atClients().forEach(a -> all.append(a.id()).append(',').append(a.end()).append(',')
                         .append(a.status()).append(',').append(a.exact()).append(',').append(a.crossed())
                         .append(',').append(a.began()).append(',').append(a.firstToken()).append(',')
@@ -267,7 +269,8 @@
 
         @Override
         public Integer call() throws Exception {
-            List<String> broken = new UpgradeProof(MAIN, upgrades, connections, rate, seed, System.out::println).run();
+            List<String> broken = new UpgradeProof(MAIN, upgrades, connections, rate, seed,
+                    System.out::println).run();
             broken.stream().limit(40).forEach(System.out::println);
             return broken.isEmpty() ? 0 : FAILED;
         }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -39,8 +39,8 @@
 import yewdock.wire.Took;
 
 /**
- * One generation of a router: a process that takes its state from the one before it, serves, and gives what it
- * knows to the next. The keeper tells it when; everything it does for that is done on the desk's thread.
+ * One generation of a router: a process that takes its state from the one before it, serves, and gives what
+ * it knows to the next. The keeper tells it when; everything it does for that is done on the desk's thread.
  */
 public class Generation {
     private static final long LAST_WORDS_MILLIS = 500;
@@ -251,7 +251,8 @@
     private void handle(Frame frame) throws IOException {
         switch (frame.getWhatCase()) {
             case GIVE_STATE -> link.send(Frame.newBuilder().setState(States.write(desk.holdings(),
-                    router.memory(), counters.all(), sockets.clock().getAsLong(), System.nanoTime())).build());
+                    router.memory(), counters.all(), sockets.clock().getAsLong(),
+                            System.nanoTime())).build());
             case SHARE -> front.happened(new Event.Share());
             case SHARING -> {
                 reached(Stage.SHARE);
--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -37,8 +37,8 @@
 import yewdock.wire.Hello;
 
 /**
- * The small parent: it holds the listener, starts generations that have it as their standard input, and carries
- * out what {@link Upgrade} decides. It never accepts a client's connection and never reads one.
+ * The small parent: it holds the listener, starts generations that have it as their standard input, and
+ * carries out what {@link Upgrade} decides. It never accepts a client's connection and never reads one.
  */
 public final class Keeper {
     static final String GENERATION = "YEWDOCK_GENERATION";
@@ -197,10 +197,9 @@
             } else if (frame.hasAsk()) {
                 command = lastCommand.incrementAndGet();
                 operators.put(command, link);
-                events.add(switch (frame.getAsk().getCommand()) {
-                    case "upgrade" -> new KeeperEvent.Asked(command, frame.getAsk().getWordsList());
-                    default -> new KeeperEvent.StatusAsked(command);
-                });
+                events.add(frame.getAsk().getCommand().equals("upgrade")
+                        ? new KeeperEvent.Asked(command, frame.getAsk().getWordsList())
+                        : new KeeperEvent.StatusAsked(command));
             } else {
                 link.close();
             }
@@ -256,7 +255,9 @@
         }
     }
 
-    /** The program is a class path, and after it the main class and its words where they are not the usual. */
+    /**
+     * The program is a class path, and after it the main class and its words where they are not the usual.
+     */
     private void start(int number, List<String> program) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/src/main/java/yewdock/daemon/Operator.java
+++ b/src/main/java/yewdock/daemon/Operator.java
@@ -18,7 +18,8 @@
 
     /**
      * Asks the daemon whose control socket is in this folder; the lines of its answer go to out. Returns the
-     * exit code that the daemon gives; throws IOException if there is no daemon, or none that answers in time.
+     * exit code that the daemon gives; throws IOException if there is no daemon, or none that answers in
+     * time.
      */
     public static int ask(Path control, String command, List<String> words, long millis, Consumer<String> out)
             throws IOException {
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -54,7 +54,8 @@
                     + "; this program reads versions from " + OLDEST_READ + " on");
         }
         if (s.getLeastReader() > VERSION) {
-            throw new UnreadableStateException("the state's version is " + s.getVersion() + ", for readers of "
+            throw new UnreadableStateException("the state's version is " + s.getVersion()
+                    + ", for readers of "
                     + s.getLeastReader() + " or later; this program's is " + VERSION);
         }
         long age = (monoNanos - s.getMonoNanos()) / 1000;
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -969,7 +969,8 @@
             BoxList news = new BoxList(watch.version(), false, ending);
             keep(news);
             closeIdleToLeavers();
-            // As an answer of the list's own it would make the module believe that it watches the list already,
+            // As an answer of the list's own it would make the module believe that it watches the list
+            // already,
             // and a generation that has not asked yet never would.
             BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.values()));
             tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(all)));
--- a/src/main/java/yewdock/log/Say.java
+++ b/src/main/java/yewdock/log/Say.java
@@ -7,8 +7,9 @@
 import org.tinylog.configuration.Configuration;
 
 /**
- * Lines for the operator: an event's name and its fields. As text they follow the name as field=value; as JSON
- * they are fields of the line's object, so that one request or one upgrade can be followed by its number.
+ * Lines for the operator: an event's name and its fields. As text they follow the name as field=value; as
+ * JSON they are fields of the line's object, so that one request or one upgrade can be followed by its
+ * number.
  */
 public final class Say {
     /** How lines are written. */
--- a/src/main/java/yewdock/proof/Router.java
+++ b/src/main/java/yewdock/proof/Router.java
@@ -30,14 +30,18 @@
     }
 
     /**
-     * Starts a daemon, whose program has this main class, with its files in this folder, the platform's configuration as given, and the words
-     * of an upgrade block; returns once it listens and its first generation serves.
+     * Starts a daemon, whose program has this main class, with its files in this folder, the platform's
+     * configuration as given, and the words of an upgrade block; returns once it listens and its first
+     * generation serves.
      */
-    public static Router start(String main, Path folder, String configuration, String upgradeBlock) throws IOException {
+    public static Router start(String main, Path folder, String configuration,
+            String upgradeBlock) throws IOException {
         Path config = Files.writeString(folder.resolve("config.json"), configuration);
         Path operator = Files.writeString(folder.resolve("operator.hcl"), "daemon {\n  config = \"" + config
-                + "\"\n  control = \"" + folder.resolve("run") + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n");
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                + "\"\n  control = \"" + folder.resolve("run")
+                        + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n");
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
+                "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx32m", "-cp",
                 System.getProperty("java.class.path"), main, "daemon", "--settings",
                 operator.toString()).redirectErrorStream(true).start();
--- a/src/main/java/yewdock/proof/Rules.java
+++ b/src/main/java/yewdock/proof/Rules.java
@@ -15,7 +15,9 @@
 
 /** Judges a run by the stand-ins' own records: each broken rule is one line. */
 public final class Rules {
-    /** Nothing new to a box later than this after the router was told that it drains; 50 ms as on the bench. */
+    /**
+     * Nothing new to a box later than this after the router was told that it drains; 50 ms as on the bench.
+     */
     static final long DRAIN_GRACE = 1_050_000_000L;
 
     private static final long SHOWN = 6_000_000_000L;
@@ -63,7 +65,8 @@
             tries.sort(Comparator.comparingLong(AtBox::began));
             for (int i = 1; i < tries.size(); i++) {
                 if (tries.get(i).began() < tries.get(i - 1).ended()) {
-                    broken.add("request " + id + " is out twice at once, at " + tries.get(i - 1).box() + " and "
+                    broken.add("request " + id + " is out twice at once, at " + tries.get(i - 1).box()
+                            + " and "
                             + tries.get(i).box());
                 }
             }
--- a/src/main/java/yewdock/proof/UpgradeProof.java
+++ b/src/main/java/yewdock/proof/UpgradeProof.java
@@ -21,8 +21,8 @@
 import yewdock.upgrade.Stage;
 
 /**
- * Upgrades under load: real processes, real sockets, streams open all the time, boxes that drain and come back,
- * and a part of the upgrades made to fail. What came of it is judged by {@link Rules}.
+ * Upgrades under load: real processes, real sockets, streams open all the time, boxes that drain and come
+ * back, and a part of the upgrades made to fail. What came of it is judged by {@link Rules}.
  */
 public final class UpgradeProof {
     /** Deadlines short enough that a hung process doesn't stretch the run. */
@@ -63,7 +63,8 @@
     private final Map<String, Integer> faults = new LinkedHashMap<>();
 
     /** A proof of so many upgrades, a fifth of them failing, under a load of so many requests a second. */
-    public UpgradeProof(String main, int upgrades, int connections, double perSecond, long seed, Consumer<String> out) {
+    public UpgradeProof(String main, int upgrades, int connections, double perSecond, long seed,
+            Consumer<String> out) {
         this.main = main;
         this.upgrades = upgrades;
         this.connections = connections;
@@ -77,7 +78,8 @@
         Path folder = Files.createTempDirectory("yewdock-proof");
         List<String> broken = new ArrayList<>();
         try (Fleet fleet = new Fleet(BOXES, SLOTS);
-                Router router = Router.start(main, folder, fleet.configuration("127.0.0.1:0"), QUICK_STAGES)) {
+                Router router = Router.start(main, folder, fleet.configuration("127.0.0.1:0"),
+                        QUICK_STAGES)) {
             Load load = new Load(new Load.Plan(router.address(), connections, perSecond, 40, 10, seed),
                     fleet.ledger());
             Load streams = new Load(new Load.Plan(router.address(), LONG_STREAMS, 2, LONG_TOKENS, LONG_PACE,
--- a/src/main/java/yewdock/settings/OperatorSettings.java
+++ b/src/main/java/yewdock/settings/OperatorSettings.java
@@ -18,8 +18,8 @@
     private static final double LONGEST_FINISH = 86_400;
 
     /**
-     * How the daemon runs: the platform's configuration file, the folder of the control socket, the class path
-     * of a generation (empty: that of the daemon itself) and the flags of its JVM.
+     * How the daemon runs: the platform's configuration file, the folder of the control socket, the class
+     * path of a generation (empty: that of the daemon itself) and the flags of its JVM.
      */
     public record Daemon(Path config, Path control, String program, List<String> java) {
         public Daemon {
@@ -28,7 +28,8 @@
     }
 
     /** How long the stages of an upgrade may take, and the old generation after it. */
-    public record Upgrade(long start, long check, long state, long ready, long take, long share, long go, long letGo,
+    public record Upgrade(long start, long check, long state, long ready, long take, long share, long go,
+            long letGo,
             long finish, int mostFinishing) {
     }
 
@@ -88,7 +89,8 @@
                 d.texts("java", List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx80m")));
         d.nothingElse();
         Section u = all.section("upgrade");
-        Upgrade upgrade = new Upgrade(stage(u, "start_s", 20), stage(u, "check_s", 10), stage(u, "state_s", 5),
+        Upgrade upgrade = new Upgrade(stage(u, "start_s", 20), stage(u, "check_s", 10), stage(u, "state_s",
+                5),
                 stage(u, "ready_s", 10), stage(u, "take_s", 5), stage(u, "share_s", 1), stage(u, "go_s", 1),
                 stage(u, "let_go_s", 2),
                 u.seconds("finish_s", 600, 1, LONGEST_FINISH), u.whole("most_finishing", 4, 1, 64));
--- a/src/main/java/yewdock/settings/Section.java
+++ b/src/main/java/yewdock/settings/Section.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** One block of a settings file. Reads what is there, notes every mistake, and knows which keys were asked for. */
+/**
+ * One block of a settings file. Reads what is there, notes every mistake, and knows which keys were asked
+ * for.
+ */
 final class Section {
     private final String where;
     private final Map<?, ?> values;
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -139,8 +139,8 @@
     }
 
     /**
-     * Takes connections from a listener that others may take them from too. Ours to stop with, never to close:
-     * what waits in its queue is for whoever accepts next. Called on the desk's thread.
+     * Takes connections from a listener that others may take them from too. Ours to stop with, never to
+     * close: what waits in its queue is for whoever accepts next. Called on the desk's thread.
      */
     public void accept(ServerSocketChannel listener) throws IOException {
         acceptor.shared = listener;
--- a/src/main/java/yewdock/standin/BoxStandin.java
+++ b/src/main/java/yewdock/standin/BoxStandin.java
@@ -9,8 +9,9 @@
 import yewdock.http.MessageReader;
 
 /**
- * A model box: streams the reference answer of each request, as many tokens as the request asks for, one after
- * each pause that it names. It can drain, break streams in the middle, crash, and run slower while cold.
+ * A model box: streams the reference answer of each request, as many tokens as the request asks for, one
+ * after each pause that it names. It can drain, break streams in the middle, crash, and run slower while
+ * cold.
  */
 public final class BoxStandin extends Server {
     private static final Pattern TOKENS = Pattern.compile("\"max_tokens\":\\s*([0-9]{1,6})");
--- a/src/main/java/yewdock/standin/FaultyGeneration.java
+++ b/src/main/java/yewdock/standin/FaultyGeneration.java
@@ -6,7 +6,9 @@
 import yewdock.daemon.Generation;
 import yewdock.upgrade.Stage;
 
-/** A new process that fails on purpose as it reaches a stage: it exits, hangs, is killed or talks nonsense. */
+/**
+ * A new process that fails on purpose as it reaches a stage: it exits, hangs, is killed or talks nonsense.
+ */
 public final class FaultyGeneration extends Generation {
     /** The ways of failing. */
     public enum Fault { EXIT, HANG, KILLED, NONSENSE, SLOW }
--- a/src/main/java/yewdock/standin/Fleet.java
+++ b/src/main/java/yewdock/standin/Fleet.java
@@ -10,7 +10,8 @@
     private static final String SETTINGS = """
             {"instances":1,"ordinal":0,"zone":0,"discovery":"ask","zones":["kathmandu","pokhara"],
              "shapes":["big-gpu","mid-gpu"],"orgs":[{"name":"lalitpur-metro","quota_rps":1000.0}],
-             "classes":[{"name":"chat","effect":"retryable","aim":1.2,"give_up":4.0,"stream":true,"worth":5.0},
+             "classes":[{"name":"chat","effect":"retryable","aim":1.2,"give_up":4.0,"stream":true,
+               "worth":5.0},
               {"name":"complete","effect":"retryable","aim":0.5,"give_up":1.5,"stream":true,"worth":1.0}],
              "limits":{"max_attempts":5,"cancelling":true,"connect_timeout":0.25,"keepalive":5.0,
               "retry_after":true,"max_retry_after":2.0},
--- a/src/main/java/yewdock/standin/Ledger.java
+++ b/src/main/java/yewdock/standin/Ledger.java
@@ -9,7 +9,9 @@
     public record AtBox(String id, String box, long began, long ended, boolean worked) {
     }
 
-    /** A box's state, as the list told it over some connection: the moment at which the answer was written. */
+    /**
+     * A box's state, as the list told it over some connection: the moment at which the answer was written.
+     */
     public record Told(String box, String state, long at, int connection) {
     }
 
--- a/src/main/java/yewdock/standin/ListStandin.java
+++ b/src/main/java/yewdock/standin/ListStandin.java
@@ -17,7 +17,8 @@
     private static final Pattern WATCH = Pattern.compile("since=(-?[0-9]+)&timeout_ms=([0-9]+)");
     private static final long MOST_WAIT = 60_000;
 
-    private record Entry(String name, String address, String site, String kind, String state, long startedMillis,
+    private record Entry(String name, String address, String site, String kind, String state,
+            long startedMillis,
             long version) {
     }
 
@@ -106,6 +107,7 @@
                     + "\",\"kind\":\"" + e.kind + "\",\"cell\":0,\"state\":\"" + e.state
                     + "\",\"weight\":1.0,\"started_ms\":" + e.startedMillis + "}");
         }
-        return "{\"version\":" + news.version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", parts) + "]}";
+        return "{\"version\":" + news.version + ",\"full\":" + full + ",\"servers\":[" + String.join(",",
+                parts) + "]}";
     }
 }
--- a/src/main/java/yewdock/standin/Load.java
+++ b/src/main/java/yewdock/standin/Load.java
@@ -17,8 +17,8 @@
 import yewdock.http.MessageReader;
 
 /**
- * Clients: so many connections, on each one request at a time, so many requests a second in all. Each stream is
- * compared with its reference byte for byte, and each request leaves one record in the ledger.
+ * Clients: so many connections, on each one request at a time, so many requests a second in all. Each stream
+ * is compared with its reference byte for byte, and each request leaves one record in the ledger.
  */
 public final class Load {
     private static final int PATIENCE_MILLIS = 30_000;
@@ -26,7 +26,8 @@
     private static final double NANOS = 1e9;
 
     /** Where to, over how many connections, how fast, tokens of a stream and pause between them at most. */
-    public record Plan(InetSocketAddress to, int connections, double perSecond, int mostTokens, int paceMillis,
+    public record Plan(InetSocketAddress to, int connections, double perSecond, int mostTokens,
+            int paceMillis,
             long seed) {
     }
 
@@ -167,7 +168,8 @@
     }
 
     private static String request(String id, int tokens, int pace, int topic) {
-        String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":" + tokens + ",\"pace_ms\":" + pace + "}";
+        String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":" + tokens + ",\"pace_ms\":" + pace
+                + "}";
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: demo\r\nX-Correlation-Id: " + id
                 + "\r\nX-Service-Class: chat\r\nX-Account: lalitpur-metro\r\nX-Session-Key: "
                 + Integer.toHexString(id.hashCode() | 1) + "\r\nX-Time-Left: 4.000\r\nX-Facts: prefix="
--- a/src/main/java/yewdock/standin/Reference.java
+++ b/src/main/java/yewdock/standin/Reference.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Locale;
 
-/** The stream that a stand-in answers a request with: a function of the request's id alone, for both sides. */
+/**
+ * The stream that a stand-in answers a request with: a function of the request's id alone, for both sides.
+ */
 public final class Reference {
     private static final int WORD = 5;
 
@@ -25,7 +27,8 @@
                     + "\"},\"finish_reason\":" + (i + 1 == tokens ? "\"stop\"" : "null") + "}]}\n\n");
         }
         events.add(String.format(Locale.ROOT, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,"
-                + "\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\n", 100, tokens,
+                + "\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\n", 100,
+                        tokens,
                 Math.floorMod(id.hashCode(), 100)));
         events.add("data: [DONE]\n\n");
         return events;
--- a/src/main/java/yewdock/standin/Server.java
+++ b/src/main/java/yewdock/standin/Server.java
@@ -8,7 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A stand-in that listens on a free port of this machine and serves each connection on a thread of its own. */
+/**
+ * A stand-in that listens on a free port of this machine and serves each connection on a thread of its own.
+ */
 abstract class Server implements Closeable {
     private static final int BACKLOG = 512;
 
