--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -31,10 +31,14 @@
             case "adapter" -> umberspread.adapter.Main.main(args);
             case "serve" -> System.exit(serve(System.getenv("PROXY_CONFIG")));
             case "generation" -> {
+                Say.prepare();
                 Say.as("json".equals(System.getenv("YEWDOCK_LOG")) ? Say.Form.JSON : Say.Form.TEXT);
                 System.exit(Generation.run(System.getenv()));
             }
-            default -> System.exit(Commands.run(args));
+            default -> {
+                Say.prepare();
+                System.exit(Commands.run(args));
+            }
         }
     }
 
--- a/src/main/java/yewdock/log/JsonLines.java
+++ b/src/main/java/yewdock/log/Lines.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.StringWriter;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Map;
@@ -13,16 +15,23 @@
 import org.tinylog.writers.Writer;
 
 /**
- * One JSON object a line, on standard output. tinylog's own JSON writer seeks in its file, and so can't write
- * to a pipe, which is what a service manager gives.
+ * Lines on standard output, as text or as one JSON object each; the form may be set after the first line.
+ * tinylog's own JSON writer seeks in its file, and so can't write to a pipe, which is what a service manager
+ * gives; and its configuration is fixed with the first line, which the reader of the settings may write.
  */
-public final class JsonLines implements Writer {
-    private static final JsonFactory FACTORY = new JsonFactory();
+public final class Lines implements Writer {
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneId.systemDefault());
+    private static volatile Say.Form form = Say.Form.TEXT;
 
     private final PrintStream out = System.out;
 
     /** Made by tinylog, with the properties of the configuration, which it needs none of. */
-    public JsonLines(Map<String, String> properties) {
+    public Lines(Map<String, String> properties) {
+    }
+
+    static void as(Say.Form next) {
+        form = next;
     }
 
     @Override
@@ -33,8 +42,20 @@
 
     @Override
     public void write(LogEntry entry) throws IOException {
+        if (form == Say.Form.JSON) {
+            out.println(json(entry));
+            return;
+        }
+        out.println(TIME.format(entry.getTimestamp().toInstant()) + " " + entry.getLevel() + ": "
+                + entry.getMessage());
+        if (entry.getException() != null) {
+            entry.getException().printStackTrace(out);
+        }
+    }
+
+    private static String json(LogEntry entry) throws IOException {
         StringWriter line = new StringWriter();
-        try (JsonGenerator json = FACTORY.createGenerator(line)) {
+        try (JsonGenerator json = Json.FACTORY.createGenerator(line)) {
             json.writeStartObject();
             json.writeStringField("time", entry.getTimestamp().toInstant().toString());
             json.writeStringField("level", entry.getLevel().toString());
@@ -47,7 +68,12 @@
             }
             json.writeEndObject();
         }
-        out.println(line);
+        return line.toString();
+    }
+
+    /** Loaded with the first line of JSON only. */
+    private static final class Json {
+        private static final JsonFactory FACTORY = new JsonFactory();
     }
 
     @Override
--- a/src/main/java/yewdock/log/Say.java
+++ b/src/main/java/yewdock/log/Say.java
@@ -18,11 +18,14 @@
     private Say() {
     }
 
-    /** Sets the form of all lines; only before the first of them. */
+    /** Makes the form one that can be set; only before the first line. Without this all lines are text. */
+    public static void prepare() {
+        Configuration.set("writer", Lines.class.getName());
+    }
+
+    /** Sets the form of the lines to come. */
     public static void as(Form form) {
-        if (form == Form.JSON) {
-            Configuration.set("writer", JsonLines.class.getName());
-        }
+        Lines.as(form);
     }
 
     /** A line with fields given as name and value by turns. */
--- a/src/main/java/yewdock/standin/FaultyGeneration.java
+++ b/src/main/java/yewdock/standin/FaultyGeneration.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import yewdock.daemon.Generation;
+import yewdock.log.Say;
 import yewdock.upgrade.Stage;
 
 /**
@@ -24,6 +25,7 @@
 
     /** Runs it; the words are the stage and the fault. */
     public static void main(String[] args) {
+        Say.prepare();
         at = Stage.valueOf(args[0]);
         fault = Fault.valueOf(args[1]);
         System.exit(Generation.of(System.getenv(), FaultyGeneration::new).run());
--- a/src/main/java/yewdock/upgrade/Upgrade.java
+++ b/src/main/java/yewdock/upgrade/Upgrade.java
@@ -318,7 +318,7 @@
         effects.add(new KeeperEffect.Kill(failed.number));
         if (serving != null) {
             if (at.compareTo(Stage.SHARE) >= 0) {
-                takeBack(failed);
+                takeBack(failed.number);
             }
         } else if (leaving) {
             // nothing to go back to, and nothing is wanted
@@ -332,13 +332,13 @@
                 + (serving == null ? "" : "; generation " + serving.number + " serves as before"), 1);
     }
 
-    private void takeBack(Generation failed) {
+    private void takeBack(int failed) {
         tell(serving, Frame.newBuilder().setTakeBack(TakeBack.getDefaultInstance()));
         tell(serving, Frame.newBuilder().setOtherGone(
-                OtherGone.newBuilder().setGeneration(failed.number)));
+                OtherGone.newBuilder().setGeneration(failed)));
         for (Generation g : generations.values()) {
             // what these have told the failed one since, the one that owns the ids again doesn't know
-            if (g != serving && g != failed && g.connected) {
+            if (g != serving && g.number != failed && g.connected) {
                 tell(g, Frame.newBuilder().setShare(Share.getDefaultInstance()));
             }
         }
@@ -438,7 +438,7 @@
         serving = null;
         deaths = servedFor >= SERVED_WELL ? 0 : deaths;
         if (next == null) {
-            if (!leaving) {
+            if (!leaving && !fallBack(number)) {
                 restart();
             }
         } else if (stage == Stage.STATE) {
@@ -450,6 +450,24 @@
         }
     }
 
+    /** The newest of those that still finish serves again: it is there at once, and it served well before. */
+    private boolean fallBack(int dead) {
+        for (Generation g : generations.values()) {
+            if (g.connected && (serving == null || g.number > serving.number)) {
+                serving = g;
+            }
+        }
+        if (serving == null) {
+            return false;
+        }
+        serving.killAt = Long.MAX_VALUE;
+        serving.servesSince = now;
+        program = serving.program;
+        note("generation.fall_back", "generation", serving.number, "dead", dead);
+        takeBack(dead);
+        return true;
+    }
+
     private void restart() {
         restartAt = now + (RESTART_AFTER << Math.min(deaths++, MOST_DOUBLINGS));
         note("generation.restart", "after_ms", (restartAt - now) / 1000);
--- /dev/null
+++ b/src/test/java/yewdock/settings/OperatorSettingsTest.java
@@ -0,0 +1,54 @@
+package yewdock.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The operator's file: all of it or nothing, and one line for each mistake. */
+class OperatorSettingsTest {
+    @Test
+    void theFileInDeployHoldsEveryDefault() throws Exception {
+        assertEquals(OperatorSettings.defaults(), OperatorSettings.read(Path.of("deploy/operator.hcl")));
+        assertEquals(OperatorSettings.defaults(), OperatorSettings.parse("f", "# nothing\n"));
+    }
+
+    @Test
+    void eachMistakeIsALineOfItsOwn() {
+        BadSettingsException bad = assertThrows(BadSettingsException.class,
+                () -> OperatorSettings.parse("f.hcl",
+                """
+                daemon {
+                  config = 3
+                  java = "x"
+                }
+                upgrade {
+                  finish_s = -1
+                  most_finishing = 2.5
+                  most = 1
+                }
+                log { form = "xml" }
+                extra = true
+                """));
+        assertEquals(List.of("f.hcl: daemon.config: a text, not 3.0",
+                "f.hcl: daemon.java: a list of texts, not x",
+                "f.hcl: upgrade.finish_s: a number from 1 to 86400, not -1",
+                "f.hcl: upgrade.most_finishing: a whole number, not 2.5",
+                "f.hcl: upgrade.most: no such key; there are start_s, check_s, state_s, ready_s, "
+                + "take_s, share_s, go_s, let_go_s, finish_s, most_finishing",
+                "f.hcl: log.form: text or json, not xml",
+                "f.hcl: extra: no such key; there are daemon, upgrade, log"), bad.mistakes());
+    }
+
+    /** What the parser takes for an empty file, or mends by itself, is a mistake here. */
+    @Test
+    void whatIsNoHclIsRefused() {
+        for (String text : List.of("daemon { = ", "daemon {\n config = \"x\"\n", "{\"name\":",
+                "daemon { }\ndaemon"
+                + " { config = \"a\" }\n")) {
+            assertThrows(BadSettingsException.class, () -> OperatorSettings.parse("f", text), text);
+        }
+    }
+}
