A new generation rehearses before it takes the listener

Change: before it says that it is ready, a generation plays 500 requests through a front, a desk and a module of their own, over connections that are none (`daemon.Rehearsal`). The real ones know nothing of it.

--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -44,6 +44,7 @@
  */
 public class Generation {
     private static final long LAST_WORDS_MILLIS = 500;
+    private static final int REHEARSED = 500;
 
     private final int number;
     private final Path control;
@@ -131,6 +132,7 @@
         link.send(Frame.newBuilder().setChecked(Checked.getDefaultInstance()).build());
         States.Left left = awaitState();
         reached(Stage.READY);
+        Rehearsal.play(config, REHEARSED);
         build(left);
         sockets.serveLater(() -> begin(left), front, desk);
         link.send(Frame.newBuilder().setNews(News.newBuilder().setCounts(
