The box stand-in counts a request as out only while its connection was surely open

Likely cause, not yet proven: the module cancels an overtaken try and sends another once the line is closed, and the stand-in saw the close only when its second write after it failed, so its record went on past the close. All the tries that the log counts as other than served are cancelled ones (197) or never sent.

Change: a request that ends by a failed write is recorded as open up to the write before the last that went well. Whole answers are recorded as before.

--- a/src/main/java/yewdock/standin/BoxStandin.java
+++ b/src/main/java/yewdock/standin/BoxStandin.java
@@ -77,6 +77,12 @@
 
     private void work(Conversation talk, Socket socket, String id, long began) throws IOException {
         inWork.incrementAndGet();
+        // A closed connection shows at the second write after the close: it was surely open at the one before
+        // the
+        // last that went well, and what comes after is no longer out.
+        long open = began;
+        long written = began;
+        boolean whole = false;
         try {
             int tokens = number(TOKENS, talk.body(), 8);
             int pace = number(PACE, talk.body(), 5);
@@ -92,12 +98,15 @@
                     throw new IOException("broken on purpose");
                 }
                 chunk(talk, event);
+                open = written;
+                written = System.nanoTime();
             }
             chunk(talk, ": X-Backend-Load: inflight=" + inWork.get() + ",qps=0,eps=0,x1=0\n\n");
             talk.write("0\r\n\r\n");
+            whole = true;
         } finally {
             inWork.decrementAndGet();
-            ledger.add(new Ledger.AtBox(id, name, began, System.nanoTime(), true));
+            ledger.add(new Ledger.AtBox(id, name, began, whole ? System.nanoTime() : open, true));
         }
     }
 
