One maker of log fields; mend comments that wrapping had broken

Seen on reading the change again: the keeper's reducer built log fields by a loop of its own beside log.Fields, a generation's re-reading of its configuration went through a needless lambda, and two comments were cut badly.

Change: the reducer calls Fields.of, the lambda is gone, the comments are whole. Behaviour is as it was.

--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -16,9 +16,10 @@
 import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
 
-/** The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire,
-        and the
-  * other commands are {@link Commands}. */
+/**
+ * The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire, and
+ * the other commands are {@link Commands}.
+ */
 public final class Main {
     private Main() {
     }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.function.Consumer;
 import umberspread.GenerationRouter;
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
@@ -367,10 +366,9 @@
 
     /** Read on a thread of its own: a slow disk must not hold requests up. */
     private void reconfigure() {
-        Consumer<Config> taken = next -> sockets.reconfigure(next);
         Thread reader = new Thread(() -> {
             try {
-                taken.accept(read());
+                sockets.reconfigure(read());
             } catch (IOException | IllegalArgumentException e) {
                 Say.warn("configuration.refused", "generation", number, "why", e.getMessage(),
                         "now", "the old one stays");
--- a/src/main/java/yewdock/log/Fields.java
+++ b/src/main/java/yewdock/log/Fields.java
@@ -4,11 +4,12 @@
 import java.util.Map;
 
 /** A line's fields, in their order. */
-final class Fields {
+public final class Fields {
     private Fields() {
     }
 
-    static Map<String, Object> of(Object... namesAndValues) {
+    /** The fields given as name and value by turns. */
+    public static Map<String, Object> of(Object... namesAndValues) {
         Map<String, Object> fields = new LinkedHashMap<>();
         for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
             fields.put(String.valueOf(namesAndValues[i]), namesAndValues[i + 1]);
--- a/src/main/java/yewdock/standin/BoxStandin.java
+++ b/src/main/java/yewdock/standin/BoxStandin.java
@@ -77,9 +77,8 @@
 
     private void work(Conversation talk, Socket socket, String id, long began) throws IOException {
         inWork.incrementAndGet();
-        // A closed connection shows at the second write after the close: it was surely open at the one before
-        // the
-        // last that went well, and what comes after is no longer out.
+        // A closed connection shows at the second write after the close: it was surely open at the one
+        // before the last that went well, and what comes after is no longer out.
         long open = began;
         long written = began;
         boolean whole = false;
--- a/src/main/java/yewdock/upgrade/Upgrade.java
+++ b/src/main/java/yewdock/upgrade/Upgrade.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import yewdock.log.Fields;
 import yewdock.wire.Boxes;
 import yewdock.wire.Frame;
 import yewdock.wire.GiveState;
@@ -40,7 +40,6 @@
     static final long SERVED_WELL = 10_000_000;
     /** An old generation ends itself at its limit; so much later it is killed. */
     static final long FINISH_SLACK = 5_000_000;
-    /** After being told to leave, a generation that has not ended after the longest stream is killed. */
     private static final double MICROS_A_MILLI = 1000.0;
 
     private final Limits limits;
@@ -544,10 +543,6 @@
     }
 
     private void note(String event, Object... fields) {
-        Map<String, Object> named = new LinkedHashMap<>();
-        for (int i = 0; i + 1 < fields.length; i += 2) {
-            named.put((String) fields[i], fields[i + 1]);
-        }
-        effects.add(new KeeperEffect.Note(event, named));
+        effects.add(new KeeperEffect.Note(event, Fields.of(fields)));
     }
 }
