--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo upgrade-proof upgrade-probe
+.PHONY: build test lint run demo upgrade-proof upgrade-probe store-proof store-probe store-damage
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -23,3 +23,17 @@
 upgrade-probe:
 	mvn -B -ntp -q test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) yewdock.probe.ListenerProbe
+
+# a hundred kills under load, split copies, what the store costs: about ten minutes; not a part of CI
+store-proof: build
+	java -jar target/yewdock.jar store-proof
+
+# the libraries that docs/STORE.md compares
+store-probe:
+	mvn -B -ntp -q -f src/probe/pom.xml dependency:build-classpath -Dmdep.outputFile=$(CURDIR)/target/probe.path
+	javac -d target/probe -cp $$(cat target/probe.path) src/probe/StoreProbe.java
+	java -cp target/probe:$$(cat target/probe.path) StoreProbe
+
+# a store's file cut and flipped at every byte, some minutes
+store-damage:
+	mvn -B -ntp -q test -Dtest=StoreTest -Dstore.offsets=all -Dsurefire.failIfNoSpecifiedTests=false
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -40,3 +40,41 @@
   # "text" or "json": one line, or one object, for each event.
   form = "text"
 }
+
+store {
+  # The folder of the store, made for its owner only if it isn't there. "": nothing is kept, and a router that
+  # was killed begins anew. One daemon for a folder.
+  folder = ""
+
+  # So long are changes gathered before they are written together, in seconds, 0.001 to 0.08.
+  gather_s = 0.02
+
+  # After so long a store that failed (no room, read-only) is tried again, in seconds, 0.1 to 600.
+  retry_s = 5
+
+  # A drain that the list told longer ago than this, and never since, is doubted at a start: the box counts as
+  # ready until the list says more. Seconds, 10 to 2592000. An operator's mark is never doubted.
+  doubt_s = 3600
+
+  # So many records are kept, own and copied, 100 to 1000000.
+  most_records = 100000
+}
+
+copies {
+  # Instances of one installation; only those with the same name here talk to each other.
+  cluster = "yewdock"
+
+  # This instance's own name, and where it listens for the others. The connections are not encrypted: they
+  # belong on a network of the operators' own.
+  instance = ""
+  listen   = ""
+
+  # The others, each as "name=host:port". An instance that is not named here is refused.
+  peers = []
+
+  # So much of what one peer sends is read in a second, in megabytes, 0.1 to 1000.
+  read_mb_s = 4
+
+  # So many removals are remembered even when all peers are known to have them, 0 to 1000000.
+  most_removals = 10000
+}
--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -45,6 +45,11 @@
 
     /** What this router has learnt so far. */
     public Memory memory() {
+        return memory(true);
+    }
+
+    /** The same; with no keys where they are not wanted, for there may be tens of thousands. */
+    public Memory memory(boolean withKeys) {
         List<Memory.OfReplica> replicas = new ArrayList<>();
         for (Node n : router.nodes.values()) {
             replicas.add(new Memory.OfReplica(n.replica.id(), n.points, list(n.restUntil),
@@ -52,8 +57,10 @@
                     n.slowUntil, n.lastDelay, n.coldBudgetAt, n.budgetedStart));
         }
         List<Memory.OfKey> keys = new ArrayList<>();
-        router.hot.forEach((key, h) ->
-                keys.add(new Memory.OfKey(key, h.tally, h.spread, router.pools.indexOf(h.pool))));
+        if (withKeys) {
+            router.hot.forEach((key, h) ->
+                    keys.add(new Memory.OfKey(key, h.tally, h.spread, router.pools.indexOf(h.pool))));
+        }
         return new Memory(router.unitWeight, router.averageWorth, router.sendTally, router.readRate,
                 router.lateShare, router.shed, router.lossShare, router.unnamed, router.plannedAt,
                 list(router.classTime), router.kindTime, list(router.tenantTally), List.copyOf(router.taken),
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -16,8 +17,11 @@
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
 import yewdock.platform.Config;
+import yewdock.proof.CopiesProof;
 import yewdock.proof.Router;
 import yewdock.proof.Rules;
+import yewdock.proof.StoreCost;
+import yewdock.proof.StoreProof;
 import yewdock.proof.UpgradeProof;
 import yewdock.settings.BadSettingsException;
 import yewdock.settings.OperatorSettings;
@@ -51,7 +55,8 @@
             description = "A request router for fleets of model boxes.", synopsisSubcommandLabel = "COMMAND",
             footer = "Exit codes: 0 done, 1 failed, 2 bad usage.",
             subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
-                Demo.class, LoadTool.class, Proof.class})
+                Demo.class, LoadTool.class, Proof.class, StoreCommands.Drain.class,
+                StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class, StoreProofs.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -114,8 +119,7 @@
             if (log != null && !List.of("text", "json").contains(log)) {
                 throw new IllegalArgumentException("--log: text or json, not " + log);
             }
-            OperatorSettings chosen = log == null ? read : new OperatorSettings(read.daemon(), read.upgrade(),
-                    new OperatorSettings.Log(log));
+            OperatorSettings chosen = log == null ? read : read.with(new OperatorSettings.Log(log));
             Say.as(chosen.log().form().equals("json") ? Say.Form.JSON : Say.Form.TEXT);
             return new Keeper(chosen, List.of(MAIN, "generation")).run();
         }
@@ -275,4 +279,33 @@
             return broken.isEmpty() ? 0 : FAILED;
         }
     }
+
+    @Command(name = "store-proof", mixinStandardHelpOptions = true,
+            description = "Kills under load, judged; copies that are split and joined; what the store costs.")
+    static final class StoreProofs implements Callable<Integer> {
+        @Option(names = "--kills", defaultValue = "100")
+        private int kills;
+        @Option(names = "--splits", defaultValue = "100")
+        private int splits;
+        @Option(names = "--cost-seconds", defaultValue = "10", description = "of each run")
+        private int costSeconds;
+        @Option(names = "--seed", defaultValue = "1")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            List<String> broken = new ArrayList<>();
+            if (splits > 0) {
+                broken.addAll(new CopiesProof(splits, seed, System.out::println).run(100, 10_000));
+            }
+            if (kills > 0) {
+                broken.addAll(new StoreProof(MAIN, kills, seed, System.out::println).run());
+            }
+            if (costSeconds > 0) {
+                broken.addAll(new StoreCost(MAIN, costSeconds, seed, System.out::println).run());
+            }
+            broken.stream().limit(40).forEach(System.out::println);
+            return broken.isEmpty() ? 0 : FAILED;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/yewdock/daemon/Archive.java
@@ -0,0 +1,385 @@
+package yewdock.daemon;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import yewdock.log.Say;
+import yewdock.replica.Replica;
+import yewdock.replica.ReplicaEffect;
+import yewdock.replica.ReplicaEvent;
+import yewdock.settings.OperatorSettings;
+import yewdock.sockets.Clock;
+import yewdock.state.Keeping;
+import yewdock.state.Keys;
+import yewdock.state.Records;
+import yewdock.store.Committer;
+import yewdock.store.Shelf;
+import yewdock.store.Store;
+import yewdock.store.StoreException;
+import yewdock.wire.Answer;
+import yewdock.wire.Boxes;
+import yewdock.wire.Frame;
+import yewdock.wire.Keep;
+import yewdock.wire.Kept;
+import yewdock.wire.Mark;
+import yewdock.wire.Marks;
+import yewdock.wire.PeerFrame;
+import yewdock.wire.State;
+
+/**
+ * What a daemon keeps: its records in memory, their store on the disk, the copies at other instances. It
+ * belongs to the keeper, which no upgrade replaces: so there is one writer, whatever generation serves.
+ * Everything here is done under one lock, and nothing under it waits for a disk or a peer.
+ */
+final class Archive implements Closeable, Peers.Hearer {
+    private static final String RECORDS = "r/";
+    private static final String JOINED = "joined";
+    private static final String HORIZON = "horizon";
+    private static final long TICK_MILLIS = 100;
+    private static final long DURABLE_MILLIS = 5_000;
+    private static final double MICROS = 1e6;
+
+    private final OperatorSettings.Store settings;
+    private final Clock clock = new Clock();
+    private final Records records;
+    private final Keeping keeping;
+    private final Replica replica;
+    private final Committer committer;
+    private final Consumer<Frame> toAll;
+    private final Map<String, Long> metaKept = new HashMap<>();
+    private Peers peers;
+
+    /**
+     * Opens the store, which another process must not have open, and begins to copy. What goes to all
+     * generations goes to toAll.
+     */
+    Archive(OperatorSettings all, Consumer<Frame> toAll) throws IOException {
+        this.settings = all.store();
+        this.toAll = toAll;
+        String instance = all.copies().instance();
+        records = new Records(instance, settings.mostRecords());
+        Shelf.Opening opening = () -> open(settings.folder());
+        Committer.Pace pace = new Committer.Pace(settings.gather() / 1000, settings.retry() / 1000);
+        Committer made;
+        try {
+            long began = System.nanoTime();
+            Shelf shelf = opening.open();
+            load(shelf);
+            Say.info("store.opened", "folder", settings.folder(), "records", records.size(), "ms",
+                    (System.nanoTime() - began) / 1_000_000);
+            made = new Committer(shelf, opening, pace, this::health);
+        } catch (StoreException e) {
+            if (e.kind() == StoreException.Kind.LOCKED) {
+                throw new IOException(e.getMessage(), e);
+            }
+            Say.warn("store.unusable", "kind", e.kind(), "why", e.getMessage(), "now",
+                    "serving on from memory");
+            made = new Committer(e, opening, pace, this::health);
+        }
+        committer = made;
+        keeping = new Keeping(records, settings.doubt());
+        replica = new Replica(all.copies().cluster(), all.copies().peers().keySet(), records,
+                metaKept.getOrDefault(JOINED, 0L), all.copies().mostRemovals());
+        if (!all.copies().peers().isEmpty()) {
+            peers = new Peers(all.copies(), this);
+            Thread ticks = new Thread(this::tick, "copies");
+            ticks.setDaemon(true);
+            ticks.start();
+        }
+    }
+
+    /** A damaged store is put out of the way, whole; what it held comes back from memory or from peers. */
+    private static Shelf open(Path folder) throws StoreException {
+        try {
+            Store store = Store.open(folder);
+            if (store.missing() > 0) {
+                Say.warn("store.rolled_back", "missing", store.missing(), "now", "as of commit "
+                        + store.number());
+            }
+            return store;
+        } catch (StoreException e) {
+            if (e.kind() != StoreException.Kind.DAMAGED) {
+                throw e;
+            }
+            try {
+                Say.warn("store.damaged", "why", e.getMessage(), "kept_as", Store.setAside(folder));
+            } catch (IOException moved) {
+                throw e;
+            }
+            return Store.open(folder);
+        }
+    }
+
+    private void load(Shelf shelf) {
+        shelf.all().forEach((key, bytes) -> {
+            if (!key.startsWith(RECORDS)) {
+                metaKept.put(key, ByteBuffer.wrap(bytes).getLong());
+            }
+        });
+        records.forget(metaKept.getOrDefault(HORIZON, 0L));
+        shelf.all().forEach((key, bytes) -> {
+            if (key.startsWith(RECORDS)) {
+                try {
+                    records.merge(Records.read(bytes));
+                } catch (InvalidProtocolBufferException e) {
+                    Say.warn("record.unreadable", "key", key, "why", e.getMessage());
+                }
+            }
+        });
+    }
+
+    private void health(Committer.Health health) {
+        if (health.open()) {
+            Say.info("store.recovered", "commits", health.commits());
+        } else {
+            Say.warn("store.failed", "kind", health.kind(), "why", health.why(), "now",
+                    "serving on from memory");
+        }
+    }
+
+    private long wall() {
+        return clock.getAsLong();
+    }
+
+    // ---- what is told
+
+    /** A generation tells something; what is to be kept of it is. */
+    synchronized void heard(Frame frame) {
+        if (frame.hasNews() && frame.getNews().hasBoxes()) {
+            told(frame.getNews().getBoxes());
+        } else if (frame.hasKeep()) {
+            Keep keep = frame.getKeep();
+            keep(keeping.learnt(keep.getModule(), wall() - keep.getClock(), wall()));
+        }
+    }
+
+    private void told(Boxes news) {
+        Kept head = records.get(Keys.list(records.instance()));
+        boolean older = head != null && head.getList().getAddress().equals(news.getAddress())
+                && news.getVersion() < head.getList().getVersion();
+        if (older && !news.getFull()) {
+            // of a generation that finishes, and hears of the list later than the one that serves
+            return;
+        }
+        keep(keeping.told(news, 0, wall()));
+        List<Kept> outlived = keeping.dropOutlived(wall());
+        if (!outlived.isEmpty()) {
+            keep(outlived);
+            tellMarks();
+        }
+    }
+
+    /** The configuration that is in force. */
+    synchronized void applied(String text) {
+        Kept kept = keeping.applied(text, wall());
+        if (kept != null) {
+            keep(List.of(kept));
+        }
+    }
+
+    private long keep(List<Kept> changed) {
+        if (changed.isEmpty()) {
+            return store(List.of());
+        }
+        List<String> keys = changed.stream().map(Kept::getKey).toList();
+        long ticket = store(keys);
+        perform(replica.reduce(new ReplicaEvent.Changed(keys), wall()));
+        return ticket;
+    }
+
+    private long store(List<String> keys) {
+        Map<String, byte[]> changes = new HashMap<>();
+        for (String key : keys) {
+            Kept kept = records.raw(key);
+            changes.put(RECORDS + key, kept == null ? null : Records.bytes(kept));
+        }
+        meta(JOINED, replica == null ? 0 : replica.joined(), changes);
+        meta(HORIZON, records.horizon(), changes);
+        return committer.put(changes);
+    }
+
+    private void meta(String key, long value, Map<String, byte[]> changes) {
+        if (metaKept.getOrDefault(key, 0L) != value) {
+            metaKept.put(key, value);
+            changes.put(key, ByteBuffer.allocate(Long.BYTES).putLong(value).array());
+        }
+    }
+
+    // ---- what a generation begins with
+
+    /** What a generation goes on with when none before it can tell; null if nothing is kept. */
+    synchronized State state() {
+        State state = keeping.state(States.VERSION, States.LEAST_READER, wall(), System.nanoTime());
+        return state == null ? null : state.toBuilder().setAfterRestart(true).build();
+    }
+
+    /** Calls with the marks that hold; none that come later are sent before it returns. */
+    synchronized void withMarks(Consumer<Frame> then) {
+        then.accept(marks());
+    }
+
+    private Frame marks() {
+        return Frame.newBuilder().setMarks(Marks.newBuilder().putAllByBox(keeping.marks())).build();
+    }
+
+    private void tellMarks() {
+        toAll.accept(marks());
+    }
+
+    // ---- operators
+
+    /** An operator's command; false if it is none of this class's. Answers may come later. */
+    boolean asked(String command, List<String> words, Consumer<Answer> answer) {
+        Mark.Kind kind = switch (command) {
+            case "drain" -> Mark.Kind.DRAIN;
+            case "undrain" -> Mark.Kind.NONE;
+            case "mark-gone" -> Mark.Kind.GONE;
+            default -> null;
+        };
+        if (kind == null) {
+            return false;
+        }
+        if (words.size() != 1) {
+            answer.accept(last("one box is to be named", 1));
+            return true;
+        }
+        mark(words.get(0), kind, answer);
+        return true;
+    }
+
+    private synchronized void mark(String box, Mark.Kind kind, Consumer<Answer> answer) {
+        Mark before = keeping.marks().get(box);
+        if (kind == Mark.Kind.NONE && before == null) {
+            answer.accept(last(box + " has no mark", 1));
+            return;
+        }
+        if (kind != Mark.Kind.NONE && keeping.known(box).isEmpty()) {
+            answer.accept(last("no box of the name " + box + " is known", 1));
+            return;
+        }
+        long ticket = keep(List.of(keeping.mark(box, kind, records.instance(), wall())));
+        tellMarks();
+        String what = switch (kind) {
+            case DRAIN -> "drains";
+            case GONE -> "is gone";
+            default -> "has no mark any more";
+        };
+        Say.info("box.marked", "box", box, "mark", kind);
+        committer.durable(ticket).orTimeout(DURABLE_MILLIS, TimeUnit.MILLISECONDS)
+                .whenComplete((done, failed) -> answer.accept(failed == null ? last(box + " " + what, 0)
+                        : last(box + " " + what + ", but this is not on the disk: "
+                                + committer.health().why(), 1)));
+    }
+
+    private static Answer last(String line, int exit) {
+        return Answer.newBuilder().setLine(line).setLast(true).setExit(exit).build();
+    }
+
+    /** Lines for an operator: what is kept here, how old, from whom, and how the copies stand. */
+    synchronized List<String> status() {
+        List<String> lines = new ArrayList<>();
+        Committer.Health health = committer.health();
+        lines.add("store: " + (health.open() ? "open" : "failed (" + health.kind() + "): " + health.why())
+                + "; records " + (records.size() - records.tombstones()) + ", removed "
+                + records.tombstones() + ", bytes " + records.bytes() + "; commits " + health.commits()
+                + ", failures " + health.failures() + ", waiting " + health.waiting());
+        Kept head = records.get(Keys.list(records.instance()));
+        if (head != null) {
+            lines.add("list: version " + head.getList().getVersion() + " of " + head.getList().getAddress()
+                    + ", told " + ago(head.getWall()));
+        }
+        keeping.marks().forEach((box, mark) -> {
+            Kept kept = records.raw(Keys.mark(box));
+            lines.add("mark: " + box + " " + mark.getKind().name().toLowerCase(Locale.ROOT) + ", by "
+                    + mark.getBy() + " " + ago(kept.getWall()));
+        });
+        for (String instance : instances()) {
+            lines.add("boxes told to " + instance + ": " + records.prefix(Keys.boxes(instance)).size());
+        }
+        for (Replica.Standing s : replica.standings()) {
+            lines.add("peer " + s.peer() + ": " + (s.up() ? "up" : "down (" + s.trouble() + ")")
+                    + ", equal " + (s.equalAt() == 0 ? "never" : ago(s.equalAt())) + ", waiting "
+                    + s.waiting() + ", sent " + s.sent() + ", got " + s.got());
+        }
+        return lines;
+    }
+
+    private TreeSet<String> instances() {
+        TreeSet<String> found = new TreeSet<>();
+        records.prefix(Keys.allBoxes()).forEach(k -> found.add(k.getKey().split("/")[1]));
+        return found;
+    }
+
+    private String ago(long wall) {
+        return String.format(Locale.ROOT, "%.1f s ago", Math.max(0, wall() - wall) / MICROS);
+    }
+
+    // ---- copies
+
+    @Override
+    public synchronized void up(String peer) {
+        perform(replica.reduce(new ReplicaEvent.Up(peer), wall()));
+    }
+
+    @Override
+    public synchronized void heard(String peer, PeerFrame frame) {
+        perform(replica.reduce(new ReplicaEvent.Heard(peer, frame), wall()));
+    }
+
+    @Override
+    public synchronized void down(String peer, String why) {
+        perform(replica.reduce(new ReplicaEvent.Down(peer, why), wall()));
+    }
+
+    private void tick() {
+        try {
+            while (true) {
+                TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+                synchronized (this) {
+                    if (wall() >= replica.nextDue()) {
+                        perform(replica.reduce(new ReplicaEvent.Tick(), wall()));
+                        store(List.of());
+                    }
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void perform(List<ReplicaEffect> effects) {
+        for (ReplicaEffect effect : effects) {
+            if (effect instanceof ReplicaEffect.Send e) {
+                peers.send(e.peer(), e.frame());
+            } else if (effect instanceof ReplicaEffect.Close e) {
+                peers.close(e.peer());
+            } else if (effect instanceof ReplicaEffect.Store e) {
+                store(e.keys());
+                if (e.keys().stream().anyMatch(k -> k.startsWith(Keys.marks()))) {
+                    tellMarks();
+                }
+            } else if (effect instanceof ReplicaEffect.Note e) {
+                Say.info(e.event(), e.fields());
+            }
+        }
+    }
+
+    /** Writes what waits and closes all. */
+    @Override
+    public void close() {
+        if (peers != null) {
+            peers.close();
+        }
+        committer.close();
+    }
+}
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -44,11 +44,16 @@
 public class Generation {
     private static final long LAST_WORDS_MILLIS = 500;
     private static final int REHEARSED = 500;
+    private static final long KEEP_MILLIS = 1_000;
+    private static final long LIST_PATIENCE_MILLIS = 500;
 
     private final int number;
     private final Path control;
     private final String secret;
     private final String file;
+    /** Whether the keeper keeps what the list and the module tell. */
+    private final boolean keeping = System.getenv(Keeper.KEEPS) != null;
+    private Runnable whenListed;
     private final BlockingQueue<Frame> early = new LinkedBlockingQueue<>();
     private volatile boolean up;
     private Link link;
@@ -182,7 +187,7 @@
         countedBefore = counters.all();
         desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), config.bounds(),
                 counters, actions -> {
-                    router = left == null
+                    router = left == null || left.memory() == null
                             ? new GenerationRouter(config.settings(), seed(), actions)
                             : new GenerationRouter(config.settings(), seed(), actions, left.memory(),
                                     left.shift());
@@ -192,6 +197,30 @@
         front = new Front(config, desk, counters, sockets, sockets.clock(), this::log);
         front.tellOthersBy(this::tellOthers);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> sockets.leave(), "leave"));
+        if (keeping) {
+            every(KEEP_MILLIS, () -> link.send(Frame.newBuilder().setKeep(States.keep(router.memory(false),
+                    sockets.clock().getAsLong())).build()));
+        }
+    }
+
+    /** Does this on the desk's thread each time that so long has passed. */
+    private void every(long millis, Runnable work) {
+        Thread timer = new Thread(() -> {
+            try {
+                while (true) {
+                    Thread.sleep(millis);
+                    sockets.post(() -> {
+                        if (accepting) {
+                            work.run();
+                        }
+                    });
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "keep");
+        timer.setDaemon(true);
+        timer.start();
     }
 
     /** Generations of one router must not draw the same numbers. */
@@ -209,12 +238,43 @@
             front.start(new BoxList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
             desk.recallTold(left.toldAt());
         }
+        if (keeping) {
+            front.happened(new Event.Keeping());
+        }
         synchronized (early) {
             for (Frame frame = early.poll(); frame != null; frame = early.poll()) {
                 handleSafely(frame);
             }
             up = true;
         }
+        Runnable ready = () -> ready(left);
+        if (keeping && (left == null || left.afterRestart())) {
+            // a drain told in the last moment before a kill is in no record: the list knows it
+            whenListed = ready;
+            Thread patience = new Thread(() -> {
+                try {
+                    Thread.sleep(LIST_PATIENCE_MILLIS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                sockets.post(this::listed);
+            }, "list patience");
+            patience.setDaemon(true);
+            patience.start();
+        } else {
+            ready.run();
+        }
+    }
+
+    private void listed() {
+        Runnable then = whenListed;
+        whenListed = null;
+        if (then != null) {
+            then.run();
+        }
+    }
+
+    private void ready(States.Left left) {
         link.send(Frame.newBuilder().setReady(Ready.newBuilder().setNote(left == null ? "starts afresh"
                 : "goes on with " + left.boxes().boxes().size() + " boxes, list version "
                 + left.boxes().version())).build());
@@ -262,6 +322,7 @@
             }
             case NEWS -> news(frame.getNews());
             case OTHER_GONE -> front.happened(new Event.OtherGone(frame.getOtherGone().getGeneration()));
+            case MARKS -> front.happened(new Event.Marked(States.marks(frame.getMarks())));
             case TAKE -> take();
             case GO -> go();
             case LET_GO -> letGo(frame.getLetGo().getLimitMicros());
@@ -288,6 +349,9 @@
             link.send(Frame.newBuilder().setSharing(States.sharing(e.held())).build());
         } else if (effect instanceof Effect.TellOthers e) {
             link.send(Frame.newBuilder().setNews(States.news(e.news())).build());
+            if (e.news() instanceof OtherNews.Told) {
+                sockets.post(this::listed);
+            }
         }
     }
 
--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -15,6 +15,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -35,6 +36,7 @@
 import yewdock.wire.Answer;
 import yewdock.wire.Frame;
 import yewdock.wire.Hello;
+import yewdock.wire.State;
 
 /**
  * The small parent: it holds the listener, starts generations that have it as their standard input, and
@@ -44,9 +46,11 @@
     static final String GENERATION = "YEWDOCK_GENERATION";
     static final String CONTROL = "YEWDOCK_CONTROL";
     static final String SECRET = "YEWDOCK_SECRET";
+    static final String KEEPS = "YEWDOCK_KEEPS";
     private static final long LONGEST_SLEEP = 1_000_000;
     private static final int SECRET_BYTES = 16;
     private static final long LAST_WORDS_MILLIS = 500;
+    private static final Set<String> MARKING = Set.of("drain", "undrain", "mark-gone");
 
     private final OperatorSettings settings;
     private final List<String> usual;
@@ -62,6 +66,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private ServerSocketChannel listener;
     private ServerSocketChannel control;
+    /** Null where nothing is kept. */
+    private Archive archive;
     private int exit = -1;
 
     /** A keeper whose generations run this main class with these words, where an upgrade names no other. */
@@ -81,6 +87,10 @@
     public int run() throws IOException {
         Config config = Config.read(Files.readString(settings.daemon().config()), line -> { });
         openControl();
+        if (settings.store().on()) {
+            archive = new Archive(settings, frame -> links.values().forEach(link -> link.send(frame)));
+            archive.applied(Files.readString(settings.daemon().config()));
+        }
         listener = Listener.asStandardInput(Addresses.of(config.listen()));
         Say.info("keeper.listens", "address", listener.getLocalAddress(), "control",
                 Link.socketIn(settings.daemon().control()));
@@ -104,6 +114,9 @@
         }
         control.close();
         Files.deleteIfExists(Link.socketIn(settings.daemon().control()));
+        if (archive != null) {
+            archive.close();
+        }
         Say.info("keeper.ends", "exit", exit);
         ended.countDown();
         return exit;
@@ -117,6 +130,9 @@
                 processes.remove(gone.generation());
                 secrets.remove(gone.generation());
             }
+            if (event instanceof KeeperEvent.HungUp) {
+                applied();
+            }
             if (event != null) {
                 upgrade.reduce(event, clock.getAsLong()).forEach(this::perform);
             }
@@ -128,6 +144,19 @@
         }
     }
 
+    /** What can't be read is refused by the generations too, and the old one stays. */
+    private void applied() {
+        if (archive != null) {
+            try {
+                String text = Files.readString(settings.daemon().config());
+                Config.read(text, line -> { });
+                archive.applied(text);
+            } catch (IOException | IllegalArgumentException e) {
+                Say.warn("configuration.not_kept", "why", e.getMessage());
+            }
+        }
+    }
+
     /** What this process was started from. */
     private static String ownProgram() {
         StringBuilder all = new StringBuilder();
@@ -189,14 +218,31 @@
 
         private void heard(Frame frame) {
             if (generation != 0) {
-                events.add(new KeeperEvent.Heard(generation, frame));
+                if (archive != null) {
+                    archive.heard(frame);
+                }
+                if (!frame.hasKeep()) {
+                    events.add(new KeeperEvent.Heard(generation, frame));
+                }
             } else if (command != 0) {
                 link.close();
             } else if (frame.hasHello()) {
                 hello(frame);
             } else if (frame.hasAsk()) {
                 command = lastCommand.incrementAndGet();
+                if (archive != null && archive.asked(frame.getAsk().getCommand(),
+                        frame.getAsk().getWordsList(), this::answer)) {
+                    return;
+                }
+                if (MARKING.contains(frame.getAsk().getCommand())) {
+                    answer(Answer.newBuilder().setLine("nothing is kept here: store.folder is not set")
+                            .setLast(true).setExit(1).build());
+                    return;
+                }
                 operators.put(command, link);
+                if (archive != null && frame.getAsk().getCommand().equals("status")) {
+                    archive.status().forEach(l -> answer(Answer.newBuilder().setLine(l).build()));
+                }
                 events.add(frame.getAsk().getCommand().equals("upgrade")
                         ? new KeeperEvent.Asked(command, frame.getAsk().getWordsList())
                         : new KeeperEvent.StatusAsked(command));
@@ -205,6 +251,10 @@
             }
         }
 
+        private void answer(Answer answer) {
+            link.send(Frame.newBuilder().setAnswer(answer).build());
+        }
+
         private void hello(Frame frame) {
             Hello hello = frame.getHello();
             if (!hello.getSecret().equals(secrets.get(hello.getGeneration()))) {
@@ -231,7 +281,9 @@
     private void perform(KeeperEffect effect) {
         if (effect instanceof KeeperEffect.Tell e) {
             Link link = links.get(e.generation());
-            if (link != null) {
+            if (link != null && e.frame().hasState() && archive != null) {
+                stateWithMarks(link, e.frame());
+            } else if (link != null) {
                 link.send(e.frame());
             }
         } else if (effect instanceof KeeperEffect.Start e) {
@@ -255,6 +307,13 @@
         }
     }
 
+    /** Where no generation before it can tell what it knew, what is kept stands in; marks follow at once. */
+    private void stateWithMarks(Link link, Frame frame) {
+        State kept = frame.getState().hasModule() ? null : archive.state();
+        link.send(kept == null ? frame : Frame.newBuilder().setState(kept).build());
+        archive.withMarks(link::send);
+    }
+
     /**
      * The program is a class path, and after it the main class and its words where they are not the usual.
      */
@@ -272,6 +331,9 @@
         builder.environment().put(GENERATION, Integer.toString(number));
         builder.environment().put(SECRET, secrets.get(number));
         builder.environment().put(CONTROL, settings.daemon().control().toAbsolutePath().toString());
+        if (archive != null) {
+            builder.environment().put(KEEPS, "1");
+        }
         builder.environment().put("PROXY_CONFIG", settings.daemon().config().toString());
         builder.environment().put("YEWDOCK_LOG", settings.log().form());
         try {
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -7,12 +7,16 @@
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
 import yewdock.desk.BoxList;
+import yewdock.desk.BoxMark;
 import yewdock.desk.Holdings;
 import yewdock.desk.ModelBox;
 import yewdock.desk.OtherNews;
 import yewdock.wire.Box;
 import yewdock.wire.Boxes;
+import yewdock.wire.Keep;
 import yewdock.wire.KeyMemory;
+import yewdock.wire.Mark;
+import yewdock.wire.Marks;
 import yewdock.wire.Memory;
 import yewdock.wire.News;
 import yewdock.wire.NodeMemory;
@@ -31,9 +35,9 @@
     private States() {
     }
 
-    /** What a state holds for the next generation. */
+    /** What a state holds for the next generation; memory is null if there is none to go on with. */
     public record Left(BoxList boxes, String listAddress, Map<Long, Long> toldAt, umberspread.Memory memory,
-            long shift, Map<String, Long> counters) {
+            long shift, Map<String, Long> counters, boolean afterRestart) {
     }
 
     /** The state of a generation, as of this time on its clock and on the system's monotonic one. */
@@ -71,13 +75,30 @@
                     toldAt.put(box.getId(), box.getToldAt() + shift);
                 }
             }
-            return new Left(list(s.getBoxes()), s.getBoxes().getAddress(), toldAt, memory(s.getModule()),
-                    shift, Map.copyOf(s.getCountersMap()));
+            return new Left(list(s.getBoxes()), s.getBoxes().getAddress(), toldAt,
+                    s.hasModule() ? memory(s.getModule()) : null, shift, Map.copyOf(s.getCountersMap()),
+                    s.getAfterRestart());
         } catch (IllegalArgumentException e) {
             throw new UnreadableStateException("the state can't be read: " + e.getMessage());
         }
     }
 
+    /** The marks that hold. */
+    static Map<String, BoxMark> marks(Marks told) {
+        Map<String, BoxMark> marks = new HashMap<>();
+        told.getByBoxMap().forEach((box, mark) -> {
+            if (mark.getKind() == Mark.Kind.DRAIN || mark.getKind() == Mark.Kind.GONE) {
+                marks.put(box, new BoxMark(mark.getKind() == Mark.Kind.GONE, mark.getStartedAt()));
+            }
+        });
+        return marks;
+    }
+
+    /** What the module has learnt, for the keeper to keep. */
+    static Keep keep(umberspread.Memory memory, long clock) {
+        return Keep.newBuilder().setClock(clock).setModule(memory(memory)).build();
+    }
+
     static Sharing sharing(Holdings held) {
         Sharing.Builder all = Sharing.newBuilder().addAllIds(held.ids())
                 .setBoxes(boxes(held.boxes(), held.listAddress(), held.toldAt()));
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -52,9 +52,7 @@
     private final Clients clients;
     private final ListWatch watch;
     private final Others others;
-    /** When the state of each box was last told as another than before. */
-    private final Map<Long, Long> toldAt = new HashMap<>();
-    private final Map<Long, ModelBox> boxes = new HashMap<>();
+    private final KnownBoxes boxes;
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Map<Long, Owed> ofClient = new HashMap<>();
     /** By the clients' own ids: two requests of one id must never be out together. */
@@ -71,6 +69,8 @@
     private int heldBytes;
     private boolean leaving;
     private boolean lettingGo;
+    /** What the list tells is told on, to be kept. */
+    private boolean keeping;
     private long letGoUntil;
     private long leaveAt;
     private boolean stopped;
@@ -150,6 +150,7 @@
         this.idleFor = (long) (keepalive * KEEP_PART);
         this.bounds = bounds;
         this.counters = counters;
+        this.boxes = new KnownBoxes(() -> now);
         this.clients = new Clients(bounds.clients(), () -> now, timers, counters,
                 effect -> effects.add(effect));
         this.watch = new ListWatch(() -> now, timers, counters, effect -> effects.add(effect),
@@ -183,14 +184,13 @@
 
     /** Whether a request that came now could be served. */
     public boolean ready() {
-        return !leaving && boxes.values().stream().anyMatch(ModelBox::takesWork);
+        return !leaving && boxes.all().stream().anyMatch(ModelBox::takesWork);
     }
 
     /** How much is kept of requests, clients, lines and times to come: at rest, as much as at the start. */
     public int kept() {
-        return owed.size() + ofClient.size() + byName.size() + lines.size() + idle.size() + boxes.size()
-                + clients.count() + timers.size() + tellings.size() + askings.size() + others.kept()
-                + toldAt.size();
+        return owed.size() + ofClient.size() + byName.size() + lines.size() + idle.size() + boxes.kept()
+                + clients.count() + timers.size() + tellings.size() + askings.size() + others.kept();
     }
 
     public boolean leaving() {
@@ -204,7 +204,7 @@
 
     /** When an earlier generation was told of the boxes' states; what is known already stands. */
     public void recallTold(Map<Long, Long> earlier) {
-        earlier.forEach((box, at) -> toldAt.computeIfPresent(box, (id, since) -> Math.min(since, at)));
+        boxes.recallTold(earlier);
     }
 
     /** What this generation holds that no other may double. */
@@ -217,8 +217,8 @@
                 out.add(new OtherNews.Sent(o.id, o.out.box));
             }
         }
-        return new Holdings(ids, out, new BoxList(watch.version(), true, List.copyOf(boxes.values())),
-                watch.address(), toldAt);
+        return new Holdings(ids, out, new BoxList(watch.version(), true, boxes.told()),
+                watch.address(), boxes.toldAt());
     }
 
     private void take(Event event) {
@@ -275,6 +275,10 @@
             lettingGo = false;
             clients.hurry(false);
             others.own();
+        } else if (event instanceof Event.Marked e) {
+            marked(e.marks());
+        } else if (event instanceof Event.Keeping) {
+            keeping = true;
         } else if (event instanceof Event.Leave) {
             leave();
         }
@@ -834,36 +838,37 @@
     private void started(Event.Started e) {
         BoxList known = e.known();
         watch.begin(e.listAddress(), known.version());
-        keep(known);
+        boxes.keep(known);
         tell(0, () -> module.started(now));
-        tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(known)));
+        tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(boxes.over(known))));
     }
 
     private void listCame(BoxList list) {
-        if (others.any()) {
+        if (others.any() || keeping) {
             effects.add(new Effect.TellOthers(new OtherNews.Told(list, watch.address())));
         }
-        keep(list);
+        boxes.keep(list);
         closeIdleToLeavers();
         if (watch.came(list)) {
             tell(0, () -> module.listReceived(now, list.full() ? ListKind.FULL : ListKind.DELTA,
-                    replicas(list)));
+                    replicas(boxes.over(list))));
         }
     }
 
-    private void keep(BoxList list) {
-        if (list.full()) {
-            Set<Long> named = new HashSet<>();
-            list.boxes().forEach(box -> named.add(box.id()));
-            boxes.keySet().removeIf(id -> !named.contains(id));
-        }
-        for (ModelBox box : list.boxes()) {
-            ModelBox before = box.isGone() ? boxes.remove(box.id()) : boxes.put(box.id(), box);
-            if (before == null || before.replica().lifecycle() != box.replica().lifecycle()) {
-                toldAt.put(box.id(), now);
-            }
-        }
-        toldAt.keySet().retainAll(boxes.keySet());
+    /** An operator's word acts at once, whatever the list says and whether or not it answers. */
+    private void marked(Map<String, BoxMark> marks) {
+        boxes.mark(marks);
+        changedHere();
+    }
+
+    /**
+     * The boxes have changed without an answer of the list's. As one it would make the module believe that it
+     * watches the list already, and a generation that has not asked yet never would.
+     */
+    private void changedHere() {
+        closeIdleToLeavers();
+        BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.all()));
+        tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(all)));
     }
 
     /** The module decides when to call again: it backs off while the service is down. */
@@ -954,26 +959,18 @@
         Set<Long> named = new HashSet<>();
         for (ModelBox box : list.boxes()) {
             named.add(box.id());
-            if (!box.takesWork() && boxes.containsKey(box.id())) {
+            if (!box.takesWork() && boxes.knows(box.id())) {
                 ending.add(box);
             }
         }
-        for (ModelBox box : boxes.values()) {
+        for (ModelBox box : boxes.told()) {
             if (list.full() && !named.contains(box.id())) {
-                Routing.Replica r = box.replica();
-                ending.add(new ModelBox(box.name(), "", new Routing.Replica(r.id(), r.zone(), r.kind(),
-                        r.cell(), r.weight(), Routing.Lifecycle.GONE, r.startedAt())));
+                ending.add(KnownBoxes.as(box, Routing.Lifecycle.GONE));
             }
         }
         if (!ending.isEmpty()) {
-            BoxList news = new BoxList(watch.version(), false, ending);
-            keep(news);
-            closeIdleToLeavers();
-            // As an answer of the list's own it would make the module believe that it watches the list
-            // already,
-            // and a generation that has not asked yet never would.
-            BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.values()));
-            tell(0, () -> module.listReceived(now, ListKind.CACHED, replicas(all)));
+            boxes.keep(new BoxList(watch.version(), false, ending));
+            changedHere();
         }
     }
 
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -1,6 +1,7 @@
 package yewdock.desk;
 
 import java.nio.ByteBuffer;
+import java.util.Map;
 import umberspread.Routing;
 
 /** All that can happen to the desk. Clients and lines to boxes go by numbers. */
@@ -98,6 +99,14 @@
     record TakeBack() implements Event {
     }
 
+    /** What the list tells is to be told on from now on, for somebody keeps it. */
+    record Keeping() implements Event {
+    }
+
+    /** All the operators' marks that hold from now on, by the boxes' names. */
+    record Marked(Map<String, BoxMark> marks) implements Event {
+    }
+
     /** The router is to leave. */
     record Leave() implements Event {
     }
--- a/src/main/java/yewdock/proof/Router.java
+++ b/src/main/java/yewdock/proof/Router.java
@@ -36,10 +36,26 @@
      */
     public static Router start(String main, Path folder, String configuration,
             String upgradeBlock) throws IOException {
+        return start(main, folder, configuration, upgradeBlock, "");
+    }
+
+    /** The same with more blocks in the operator's file. */
+    public static Router start(String main, Path folder, String configuration, String upgradeBlock,
+            String more) throws IOException {
+        Router router = launch(main, folder, configuration, upgradeBlock, more);
+        if (router.await(line -> line.contains("upgrade.done")) == null) {
+            throw new IOException("the daemon did not come up:\n" + router.log());
+        }
+        return router;
+    }
+
+    /** The same, but returns at once. */
+    public static Router launch(String main, Path folder, String configuration, String upgradeBlock,
+            String more) throws IOException {
         Path config = Files.writeString(folder.resolve("config.json"), configuration);
         Path operator = Files.writeString(folder.resolve("operator.hcl"), "daemon {\n  config = \"" + config
                 + "\"\n  control = \"" + folder.resolve("run")
-                        + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n");
+                        + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n" + more);
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx32m", "-cp",
@@ -49,9 +65,6 @@
         Thread reader = new Thread(router::readLog, "daemon log");
         reader.setDaemon(true);
         reader.start();
-        if (router.await(line -> line.contains("upgrade.done")) == null) {
-            throw new IOException("the daemon did not come up:\n" + router.log());
-        }
         return router;
     }
 
@@ -150,10 +163,23 @@
         }
     }
 
-    /** Ends it and its generations at once. */
+    /** How it ended by itself, waiting for that; -1 if it did not in time. */
+    public int exit() {
+        try {
+            return process.waitFor(END_SECONDS, TimeUnit.SECONDS) ? process.exitValue() : -1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+
+    /** Ends it and its generations at once, by SIGKILL. */
     @Override
     public void close() {
-        process.descendants().forEach(ProcessHandle::destroyForcibly);
+        List<ProcessHandle> all = new ArrayList<>(process.descendants().toList());
         process.destroyForcibly();
+        all.forEach(ProcessHandle::destroyForcibly);
+        all.add(process.toHandle());
+        all.forEach(p -> p.onExit().join());
     }
 }
--- a/src/main/java/yewdock/proof/Rules.java
+++ b/src/main/java/yewdock/proof/Rules.java
@@ -34,6 +34,29 @@
         return broken;
     }
 
+    /** What a run broke in which routers are killed, so that requests are lost with them. */
+    public static List<String> brokenOverKills(Ledger ledger, List<Marked> marks) {
+        List<String> broken = new ArrayList<>();
+        ledger.atClients().stream().filter(a -> a.end() == End.SERVED && !a.exact()).forEach(a ->
+                broken.add("request " + a.id() + ": its stream is not the reference"));
+        drains(ledger.atBoxes(), ledger.told(), broken);
+        for (AtBox a : ledger.atBoxes()) {
+            for (Marked m : marks) {
+                if (m.box().equals(a.box()) && a.began() > m.acknowledged() + DRAIN_GRACE
+                        && a.began() < m.takenBack()) {
+                    broken.add("at " + clock(a.began()) + " request " + a.id() + " came to " + a.box() + " "
+                            + (a.began() - m.acknowledged()) / 1_000_000
+                            + " ms after an operator's drain of it was acknowledged");
+                }
+            }
+        }
+        return broken;
+    }
+
+    /** An operator's drain: when it was acknowledged, and when it was asked to be taken back, nanoseconds. */
+    public record Marked(String box, long acknowledged, long takenBack) {
+    }
+
     /** One final answer each, streams as they should be, no connection refused or reset. */
     private static void answers(List<AtClient> all, List<String> broken) {
         Map<String, Integer> count = new HashMap<>();
--- /dev/null
+++ b/src/main/java/yewdock/proof/StoreCost.java
@@ -0,0 +1,171 @@
+package yewdock.proof;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import yewdock.standin.Fleet;
+import yewdock.standin.Ledger;
+import yewdock.standin.Load;
+import yewdock.state.Keys;
+import yewdock.state.Records;
+import yewdock.store.Store;
+import yewdock.store.StoreException;
+import yewdock.wire.Box;
+import yewdock.wire.Kept;
+
+/**
+ * What the store costs: the same load on a daemon without one, with one, and with one and a peer that takes a
+ * connection and never reads; by turns, so that a noisy machine is noisy for all. And how long a start takes
+ * with many records and with none.
+ */
+public final class StoreCost {
+    private static final int ROUNDS = 3;
+    private static final int STARTS = 5;
+    private static final int RECORDS = 10_000;
+    private static final int CONNECTIONS = 64;
+    private static final double PER_SECOND = 600;
+    private static final long WARM_MILLIS = 4_000;
+    private static final double NANOS_A_MILLI = 1e6;
+
+    private final String main;
+    private final int seconds;
+    private final long seed;
+    private final Consumer<String> out;
+
+    public StoreCost(String main, int seconds, long seed, Consumer<String> out) {
+        this.main = main;
+        this.seconds = seconds;
+        this.seed = seed;
+        this.out = out;
+    }
+
+    private record Cost(double perSecond, double cpuMicros, double p50, double p99) {
+    }
+
+    /** Runs it; returns what was broken. */
+    public List<String> run() throws IOException, InterruptedException, StoreException {
+        List<String> broken = new ArrayList<>();
+        Path folder = Files.createTempDirectory("yewdock-store-cost");
+        Map<String, List<Cost>> costs = new TreeMap<>();
+        // a listener that never accepts: the system takes the connection, nobody reads it
+        try (ServerSocket hangs = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            for (int round = 0; round < ROUNDS; round++) {
+                for (String setup : List.of("off", "on", "on, a peer hangs")) {
+                    costs.computeIfAbsent(setup, s -> new ArrayList<>()).add(
+                            one(setup, folder.resolve(setup.replaceAll("\\W+", "-") + round),
+                                    hangs.getLocalPort(), broken));
+                }
+            }
+            out.accept("store | requests/s | router CPU us a request (daemon and generation) | first token ms"
+                    + " p50 / p99");
+            double off = median(costs.get("off").stream().mapToDouble(Cost::cpuMicros));
+            costs.forEach((setup, all) -> {
+                double cpu = median(all.stream().mapToDouble(Cost::cpuMicros));
+                out.accept(String.format(Locale.ROOT, "%s | %.0f | %.0f (%+.1f%%) | %.2f / %.2f", setup,
+                        median(all.stream().mapToDouble(Cost::perSecond)), cpu, (cpu / off - 1) * 100,
+                        median(all.stream().mapToDouble(Cost::p50)),
+                        median(all.stream().mapToDouble(Cost::p99))));
+            });
+            starts(folder);
+        } finally {
+            UpgradeProof.delete(folder);
+        }
+        return broken;
+    }
+
+    private static double median(java.util.stream.DoubleStream all) {
+        double[] sorted = all.sorted().toArray();
+        return sorted[sorted.length / 2];
+    }
+
+    private static String blocks(String setup, Path folder, int peer) {
+        return setup.equals("off") ? "" : "store {\n  folder = \"" + folder.resolve("store") + "\"\n}\n"
+                + (setup.equals("on") ? "" : "copies {\n  instance = \"a\"\n  listen = \"127.0.0.1:0\"\n"
+                + "  peers = [\"b=127.0.0.1:" + peer + "\"]\n}\n");
+    }
+
+    private Cost one(String setup, Path folder, int peer, List<String> broken)
+            throws IOException, InterruptedException {
+        Files.createDirectory(folder);
+        try (Fleet fleet = new Fleet(8, 64);
+                Router router = Router.start(main, folder, fleet.configuration("127.0.0.1:0"),
+                        UpgradeProof.QUICK_STAGES, blocks(setup, folder, peer))) {
+            Load load = new Load(new Load.Plan(router.address(), CONNECTIONS, PER_SECOND, 10, 2, seed),
+                    fleet.ledger());
+            load.start();
+            Thread.sleep(WARM_MILLIS);
+            List<ProcessHandle> processes = new ArrayList<>(router.generations());
+            processes.add(router.process());
+            long cpu = cpu(processes);
+            long began = System.nanoTime();
+            Thread.sleep(seconds * 1000L);
+            long used = cpu(processes) - cpu;
+            long ended = System.nanoTime();
+            load.stop();
+            Histogram first = new Histogram(3);
+            for (Ledger.AtClient a : fleet.ledger().atClients()) {
+                if (a.ended() >= began && a.ended() < ended && a.end() == Ledger.End.SERVED) {
+                    first.recordValue((a.firstToken() - a.began()) / 1000);
+                }
+            }
+            Rules.broken(fleet.ledger()).forEach(b -> broken.add(setup + ": " + b));
+            long served = first.getTotalCount();
+            return new Cost(served / ((ended - began) / 1e9), used / 1000.0 / served,
+                    first.getValueAtPercentile(50) / 1000.0, first.getValueAtPercentile(99) / 1000.0);
+        }
+    }
+
+    private static long cpu(List<ProcessHandle> processes) {
+        return processes.stream().mapToLong(p -> p.info().totalCpuDuration().orElse(Duration.ZERO).toNanos())
+                .sum();
+    }
+
+    private void starts(Path folder) throws IOException, StoreException {
+        double[][] took = new double[2][STARTS];
+        for (int i = 0; i < STARTS; i++) {
+            for (int full = 0; full < 2; full++) {
+                Path own = Files.createDirectory(folder.resolve("start-" + i + "-" + full));
+                if (full == 1) {
+                    fill(own.resolve("store"));
+                } else {
+                    Store.open(own.resolve("store")).close();
+                }
+                try (Fleet fleet = new Fleet(8, 64)) {
+                    long began = System.nanoTime();
+                    Router router = Router.start(main, own, fleet.configuration("127.0.0.1:0"),
+                            UpgradeProof.QUICK_STAGES, blocks("on", own, 0));
+                    took[full][i] = (System.nanoTime() - began) / NANOS_A_MILLI;
+                    router.close();
+                }
+            }
+        }
+        out.accept(String.format(Locale.ROOT, "from start to serving, ms, median of %d: empty store %.0f, "
+                + "%d records %.0f", STARTS, median(Arrays.stream(took[0])), RECORDS,
+                median(Arrays.stream(took[1]))));
+    }
+
+    /** As an installation of five has it: mostly copies of what the others were told. */
+    private static void fill(Path folder) throws StoreException {
+        Records records = new Records("other", RECORDS);
+        Map<String, byte[]> all = new TreeMap<>();
+        for (int i = 0; i < RECORDS; i++) {
+            Kept kept = records.write(Keys.box("i" + i % 4, i / 4), Kept.newBuilder().setBox(Box.newBuilder()
+                    .setName("s-" + i).setAddress("10.0.0.1:8000").setId(i).setWeight(1)), 1);
+            all.put("r/" + kept.getKey(), Records.bytes(kept));
+        }
+        try (Store store = Store.open(folder)) {
+            store.write(all);
+        }
+    }
+}
--- a/src/main/java/yewdock/proof/UpgradeProof.java
+++ b/src/main/java/yewdock/proof/UpgradeProof.java
@@ -203,7 +203,7 @@
         out.accept("broken rules: " + broken.size());
     }
 
-    private static void delete(Path folder) throws IOException {
+    static void delete(Path folder) throws IOException {
         try (var files = Files.walk(folder)) {
             for (Path file : files.sorted((a, b) -> b.compareTo(a)).toList()) {
                 Files.deleteIfExists(file);
--- a/src/main/java/yewdock/settings/OperatorSettings.java
+++ b/src/main/java/yewdock/settings/OperatorSettings.java
@@ -6,16 +6,21 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
 
 /**
  * The operator's own settings, read from HCL. Either all of a file is taken or none of it. Durations are
  * microseconds here and seconds in the file.
  */
-public record OperatorSettings(Daemon daemon, Upgrade upgrade, Log log) {
+public record OperatorSettings(Daemon daemon, Upgrade upgrade, Log log, Store store, Copies copies) {
     private static final double LONGEST_STAGE = 600;
     private static final double LONGEST_FINISH = 86_400;
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9.-]{1,64}");
+    private static final Pattern ADDRESS = Pattern.compile("\\S+:[0-9]{1,5}");
 
     /**
      * How the daemon runs: the platform's configuration file, the folder of the control socket, the class
@@ -37,6 +42,34 @@
     public record Log(String form) {
     }
 
+    /**
+     * The store: its folder (null: nothing is kept), how long changes are gathered before they are written,
+     * after how long a store that failed is tried again, after how long a kept drain that no list has told
+     * again is doubted at a start, and how many records are kept.
+     */
+    public record Store(Path folder, long gather, long retry, long doubt, int mostRecords) {
+        /** Whether there is one. */
+        public boolean on() {
+            return folder != null;
+        }
+    }
+
+    /**
+     * The copies: the installation's name, this instance's, where it listens, and the others with their
+     * addresses; megabytes read of a peer in a second, and removals remembered though all peers know them.
+     */
+    public record Copies(String cluster, String instance, String listen, Map<String, String> peers,
+            double readMegabytes, int mostRemovals) {
+        public Copies {
+            peers = Collections.unmodifiableMap(new TreeMap<>(peers));
+        }
+    }
+
+    /** The same with another form of log lines. */
+    public OperatorSettings with(Log other) {
+        return new OperatorSettings(daemon, upgrade, other, store, copies);
+    }
+
     /** What holds where a file says nothing. */
     public static OperatorSettings defaults() {
         List<String> mistakes = new ArrayList<>();
@@ -98,8 +131,51 @@
         Section l = all.section("log");
         Log log = new Log(l.oneOf("form", "text", List.of("text", "json")));
         l.nothingElse();
+        Store store = store(all.section("store"));
+        Copies copies = copies(all.section("copies"), store);
         all.nothingElse();
-        return new OperatorSettings(daemon, upgrade, log);
+        return new OperatorSettings(daemon, upgrade, log, store, copies);
+    }
+
+    private static Store store(Section s) {
+        String folder = s.text("folder", "");
+        Store store = new Store(folder.isEmpty() ? null : Path.of(folder),
+                s.seconds("gather_s", 0.02, 0.001, 0.08), s.seconds("retry_s", 5, 0.1, LONGEST_STAGE),
+                s.seconds("doubt_s", 3600, 10, LONGEST_FINISH * 30),
+                s.whole("most_records", 100_000, 100, 1_000_000));
+        s.nothingElse();
+        return store;
+    }
+
+    private static Copies copies(Section c, Store store) {
+        String name = c.text("instance", "");
+        String listen = c.text("listen", "");
+        Map<String, String> peers = new TreeMap<>();
+        for (String peer : c.texts("peers", List.of())) {
+            String[] parts = peer.split("=", 2);
+            if (parts.length != 2 || !NAME.matcher(parts[0]).matches()
+                    || !ADDRESS.matcher(parts[1]).matches() || peers.put(parts[0], parts[1]) != null) {
+                c.wrong("peers", "name=host:port, each name once, not " + peer);
+            }
+        }
+        if (!name.isEmpty() && !NAME.matcher(name).matches()) {
+            c.wrong("instance", "1 to 64 letters, digits, dots or dashes, not " + name);
+        }
+        if (!peers.isEmpty()) {
+            if (!store.on()) {
+                c.wrong("peers", "none without store.folder: copies need a store");
+            }
+            if (name.isEmpty() || peers.containsKey(name)) {
+                c.wrong("instance", "a name of its own where there are peers, not \"" + name + "\"");
+            }
+            if (!ADDRESS.matcher(listen).matches()) {
+                c.wrong("listen", "host:port where there are peers, not \"" + listen + "\"");
+            }
+        }
+        Copies copies = new Copies(c.text("cluster", "yewdock"), name.isEmpty() ? "here" : name, listen,
+                peers, c.number("read_mb_s", 4, 0.1, 1000), c.whole("most_removals", 10_000, 0, 1_000_000));
+        c.nothingElse();
+        return copies;
     }
 
     private static long stage(Section u, String key, double byDefault) {
--- a/src/main/java/yewdock/settings/Section.java
+++ b/src/main/java/yewdock/settings/Section.java
@@ -112,7 +112,8 @@
         return values.get(key);
     }
 
-    private void wrong(String key, String allowed) {
+    /** Notes a mistake: what the key may be, and what it is not. */
+    void wrong(String key, String allowed) {
         mistakes.add(where + key + ": " + allowed);
     }
 
--- a/src/main/java/yewdock/state/Keeping.java
+++ b/src/main/java/yewdock/state/Keeping.java
@@ -216,18 +216,25 @@
             all.addBoxes(box.toBuilder().setToldAt(toldAt).setLifecycle(doubted ? Lifecycle.READY.ordinal()
                     : box.getLifecycle()));
         }
+        State.Builder state = State.newBuilder().setVersion(version).setLeastReader(leastReader)
+                .setClock(wall).setMonoNanos(monoNanos).setBoxes(all);
         Kept module = records.get(Keys.module(me));
-        Memory.Builder memory = module == null || wall - module.getWall() > MODULE_HOLDS
-                ? Memory.newBuilder() : module.getModule().toBuilder();
-        for (Kept kept : records.prefix(Keys.nodes(me))) {
+        if (module != null && wall - module.getWall() <= MODULE_HOLDS) {
+            state.setModule(memory(module.getModule(), wall));
+        }
+        return state.build();
+    }
+
+    private Memory memory(Memory module, long wall) {
+        Memory.Builder memory = module.toBuilder();
+        for (Kept kept : records.prefix(Keys.nodes(records.instance()))) {
             NodeMemory node = kept.getNode();
             if (node.getEjectedUntil() < wall + LONGEST_REST && node.getColdBudgetAt() < wall
                     + LONGEST_REST) {
                 memory.addNodes(node);
             }
         }
-        return State.newBuilder().setVersion(version).setLeastReader(leastReader).setClock(wall)
-                .setMonoNanos(monoNanos).setBoxes(all).setModule(memory).build();
+        return memory.build();
     }
 
     /** With an empty disk: what the other instances knew, a drain that any of them knew included. */
--- a/src/main/java/yewdock/store/Store.java
+++ b/src/main/java/yewdock/store/Store.java
@@ -2,10 +2,12 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.io.IOException;
+import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.SortedMap;
@@ -26,6 +28,8 @@
     /** The layout that is written. 1: records without seals; 2: sealed, with their sum. */
     static final int VERSION = 2;
     private static final String FILE = "records.mv";
+    /** Beside the file: the number of the last commit that is surely on the disk, and its seal. */
+    private static final String NUMBER = "records.number";
     private static final String RECORDS = "records";
     private static final String HEAD = "head";
     private static final int CACHE_MB = 2;
@@ -38,6 +42,7 @@
     private final MVMap<String, Long> head;
     private long count;
     private long sum;
+    private long missing;
     private volatile long number;
 
     private Store(Path file, MVStore store) {
@@ -51,11 +56,24 @@
     public static Store open(Path folder) throws StoreException {
         Path file = fileIn(folder);
         try {
-            Files.createDirectories(folder);
+            if (!Files.exists(folder)) {
+                Files.createDirectories(folder, PosixFilePermissions.asFileAttribute(
+                        PosixFilePermissions.fromString("rwx------")));
+            }
+            if (!Files.isDirectory(folder)) {
+                throw new StoreException(StoreException.Kind.READ_ONLY, folder + " is no folder");
+            }
             if (Files.exists(file) && Files.size(file) == 0) {
+                if (surely(file) > 0) {
+                    throw new StoreException(StoreException.Kind.DAMAGED, file + " is damaged: it is empty, "
+                            + "and had " + surely(file) + " commits");
+                }
                 // killed before the first byte was written: nothing was ever acknowledged
                 Files.delete(file);
             }
+            if (!Files.exists(file)) {
+                Files.deleteIfExists(file.resolveSibling(NUMBER));
+            }
         } catch (IOException e) {
             throw new StoreException(StoreException.Kind.READ_ONLY, folder + " can't be made: "
                     + e.getMessage(), e);
@@ -71,6 +89,7 @@
             Store opened = new Store(file, builder(file).autoCommitDisabled().open());
             try {
                 opened.check();
+                opened.compareNumber();
                 opened.bringUp();
             } catch (StoreException | RuntimeException e) {
                 opened.close();
@@ -90,6 +109,7 @@
             Store opened = new Store(file, builder(file).readOnly().open());
             try {
                 opened.check();
+                opened.compareNumber();
             } catch (StoreException | RuntimeException e) {
                 opened.close();
                 throw e;
@@ -105,6 +125,7 @@
         for (int i = 1; Files.exists(aside); i++) {
             aside = file.resolveSibling(FILE + ".damaged-" + i);
         }
+        Files.deleteIfExists(file.resolveSibling(NUMBER));
         return Files.move(file, aside);
     }
 
@@ -175,6 +196,39 @@
         }
     }
 
+    /**
+     * The library opens a file whose newest parts are destroyed as it was before them, and one whose parts
+     * are all destroyed as an empty one: that must not pass for what was committed last.
+     */
+    private void compareNumber() throws StoreException {
+        missing = Math.max(0, surely(file) - number);
+        if (missing > 0 && number == 0) {
+            throw damaged("nothing of its " + missing + " commits can be found in it");
+        }
+    }
+
+    private static long surely(Path file) {
+        try {
+            ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file.resolveSibling(NUMBER)));
+            long number = bytes.getLong();
+            return bytes.getLong() == Hashing.xxh3_64().hashStream().putLong(number).getAsLong() ? number : 0;
+        } catch (IOException | BufferUnderflowException e) {
+            // killed before the first commit, or half written by a kill: then nothing can be told
+            return 0;
+        }
+    }
+
+    /** Never before the commit is on the disk; not synced itself, for being behind does no harm. */
+    private void noteNumber() {
+        ByteBuffer bytes = ByteBuffer.allocate(2 * Long.BYTES).putLong(number)
+                .putLong(Hashing.xxh3_64().hashStream().putLong(number).getAsLong());
+        try {
+            Files.write(file.resolveSibling(NUMBER), bytes.array());
+        } catch (IOException e) {
+            // the commit stands all the same
+        }
+    }
+
     private StoreException damaged(String why) {
         return new StoreException(StoreException.Kind.DAMAGED, file + " is damaged: " + why);
     }
@@ -231,6 +285,7 @@
         return guarded(file, () -> {
             commit(changes);
             store.sync();
+            noteNumber();
             return number;
         });
     }
@@ -255,10 +310,15 @@
 
     @Override
     public void tidy(int mostMillis) throws StoreException {
+        if (bytes() > TIDY_FROM) {
+            compact(mostMillis);
+        }
+    }
+
+    /** Gives back all the room that can be had in so many milliseconds. */
+    public void compact(int mostMillis) throws StoreException {
         guarded(file, () -> {
-            if (bytes() > TIDY_FROM) {
-                store.compactFile(mostMillis);
-            }
+            store.compactFile(mostMillis);
             return null;
         });
     }
@@ -270,6 +330,11 @@
         return number;
     }
 
+    /** How many commits were on the disk and are there no more: what is here was committed before them. */
+    public long missing() {
+        return missing;
+    }
+
     /** The layout that the file has. */
     public int version() {
         return Math.toIntExact(head.getOrDefault("version", 0L));
--- a/src/test/java/yewdock/settings/OperatorSettingsTest.java
+++ b/src/test/java/yewdock/settings/OperatorSettingsTest.java
@@ -39,7 +39,7 @@
                 "f.hcl: upgrade.most: no such key; there are start_s, check_s, state_s, ready_s, "
                 + "take_s, share_s, go_s, let_go_s, finish_s, most_finishing",
                 "f.hcl: log.form: text or json, not xml",
-                "f.hcl: extra: no such key; there are daemon, upgrade, log"), bad.mistakes());
+                "f.hcl: extra: no such key; there are daemon, upgrade, log, store, copies"), bad.mistakes());
     }
 
     /** What the parser takes for an empty file, or mends by itself, is a mistake here. */
--- a/src/test/java/yewdock/store/StoreTest.java
+++ b/src/test/java/yewdock/store/StoreTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     private Path folder;
+    private byte[] number;
 
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
@@ -133,6 +134,7 @@
         assertTrue(all.length > old.length);
         for (int length : offsets(old.length, all.length, 3)) {
             Files.write(Store.fileIn(folder), Arrays.copyOf(all, length));
+            Files.deleteIfExists(folder.resolve("records.number"));
             try (Store store = Store.open(folder)) {
                 assertEquals(wanted, texts(store.all()), "cut to " + length);
                 assertEquals(Store.VERSION, store.version());
@@ -159,7 +161,7 @@
     }
 
     /** All sets that were ever committed, and the file as it is after the last. */
-    private List<Map<String, String>> history(int commits) throws StoreException {
+    private List<Map<String, String>> history(int commits) throws StoreException, IOException {
         List<Map<String, String>> committed = new ArrayList<>();
         committed.add(Map.of());
         SplittableRandom random = new SplittableRandom(7);
@@ -174,6 +176,7 @@
                 committed.add(texts(store.all()));
             }
         }
+        number = Files.readAllBytes(folder.resolve("records.number"));
         return committed;
     }
 
@@ -218,10 +221,13 @@
     private boolean playWith(byte[] file, List<Map<String, String>> committed, String how)
             throws IOException {
         Files.write(Store.fileIn(folder), file);
+        Files.write(folder.resolve("records.number"), number);
         return assertTimeoutPreemptively(LONGEST, () -> {
             try (Store store = Store.open(folder)) {
                 Map<String, String> found = texts(store.all());
                 assertTrue(committed.contains(found), how + ": never committed: " + found);
+                assertTrue(store.missing() > 0 == !found.equals(committed.get(committed.size() - 1)),
+                        how + ": " + store.missing() + " commits are said to be missing");
                 store.write(Map.of("new", bytes("room")));
                 assertTrue(store.all().containsKey("new"));
                 return true;
