--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -72,8 +72,9 @@
   # The others, each as "name=host:port". An instance that is not named here is refused.
   peers = []
 
-  # So much of what one peer sends is read in a second, in megabytes, 0.1 to 1000.
-  read_mb_s = 4
+  # So much of what one peer sends is read in a second, in megabytes, 0.1 to 1000. A peer that sends small
+  # records without end costs about a fifth of a core for each megabyte, in the daemon's small parent.
+  read_mb_s = 1
 
   # So many removals are remembered even when all peers are known to have them, 0 to 1000000.
   most_removals = 10000
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -56,7 +56,8 @@
             footer = "Exit codes: 0 done, 1 failed, 2 bad usage.",
             subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
                 Demo.class, LoadTool.class, Proof.class, StoreCommands.Drain.class,
-                StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class, StoreProofs.class})
+                StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class,
+                StoreProofs.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/yewdock/daemon/Framed.java
+++ b/src/main/java/yewdock/daemon/Framed.java
@@ -27,7 +27,7 @@
     private volatile boolean closed;
     private Thread writer;
 
-    /** Frames of so many bytes at most, of which so many may wait to be sent; read so fast, 0: as they come. */
+    /** Frames of so many bytes; so many may wait to be sent; read so fast at most, 0: as they come. */
     Framed(SocketChannel channel, Parser<F> parser, int mostFrame, int mostWaiting, double mostASecond) {
         this.channel = channel;
         this.parser = parser;
--- a/src/main/java/yewdock/proof/Router.java
+++ b/src/main/java/yewdock/proof/Router.java
@@ -180,6 +180,11 @@
         process.destroyForcibly();
         all.forEach(ProcessHandle::destroyForcibly);
         all.add(process.toHandle());
-        all.forEach(p -> p.onExit().join());
+        for (ProcessHandle each : all) {
+            // one that has ended and that nobody has waited for yet has no command any more
+            while (each.isAlive() && each.info().command().isPresent()) {
+                Thread.onSpinWait();
+            }
+        }
     }
 }
--- a/src/main/java/yewdock/settings/OperatorSettings.java
+++ b/src/main/java/yewdock/settings/OperatorSettings.java
@@ -173,7 +173,7 @@
             }
         }
         Copies copies = new Copies(c.text("cluster", "yewdock"), name.isEmpty() ? "here" : name, listen,
-                peers, c.number("read_mb_s", 4, 0.1, 1000), c.whole("most_removals", 10_000, 0, 1_000_000));
+                peers, c.number("read_mb_s", 1, 0.1, 1000), c.whole("most_removals", 10_000, 0, 1_000_000));
         c.nothingElse();
         return copies;
     }
--- a/src/main/java/yewdock/store/Store.java
+++ b/src/main/java/yewdock/store/Store.java
@@ -395,7 +395,8 @@
     @Override
     public void close() {
         try {
-            store.close();
+            // tidied while it is open; an end is not to wait for it
+            store.close(0);
         } catch (RuntimeException e) {
             // what was acknowledged was synced; the file is checked when it is next opened
             store.closeImmediately();
