Cost of the store by turns; one connection that is none for try-out and rehearsal

Need: one run had the store at -0.6% of CPU a request and the next at +22%: the setup measured first in every round was always the same. And Generation and Rehearsal each had an own connection that is none.

--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -288,6 +288,10 @@
         private int kills;
         @Option(names = "--splits", defaultValue = "100")
         private int splits;
+        @Option(names = "--setups", split = ";", description = "whose cost is measured, \"off\" among them")
+        private List<String> setups = StoreCost.SETUPS;
+        @Option(names = "--rounds", defaultValue = "3", description = "of each setup")
+        private int rounds;
         @Option(names = "--cost-seconds", defaultValue = "10", description = "of each run")
         private int costSeconds;
         @Option(names = "--seed", defaultValue = "1")
@@ -303,7 +307,8 @@
                 broken.addAll(new StoreProof(MAIN, kills, seed, System.out::println).run());
             }
             if (costSeconds > 0) {
-                broken.addAll(new StoreCost(MAIN, costSeconds, seed, System.out::println).run());
+                broken.addAll(new StoreCost(MAIN, setups, rounds, costSeconds, seed,
+                        System.out::println).run());
             }
             broken.stream().limit(40).forEach(System.out::println);
             return broken.isEmpty() ? 0 : FAILED;
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -21,7 +21,6 @@
 import yewdock.platform.Config;
 import yewdock.platform.Front;
 import yewdock.platform.Side;
-import yewdock.platform.Wire;
 import yewdock.sockets.Clock;
 import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
@@ -378,31 +377,11 @@
     /** One request through the front and the desk, over a connection that is none. */
     private String tryOut() {
         StringBuilder answer = new StringBuilder();
-        Side side = front.accept(new Wire() {
+        Side side = front.accept(new NoWire() {
             @Override
             public void write(ByteBuffer bytes) {
                 answer.append(StandardCharsets.ISO_8859_1.decode(bytes));
             }
-
-            @Override
-            public void close() {
-                // there is nothing to close
-            }
-
-            @Override
-            public void closeAfterWriting() {
-                // nor to wait for
-            }
-
-            @Override
-            public void closeGently() {
-                // nor to wait for
-            }
-
-            @Override
-            public void hold(boolean held) {
-                // nor to hold
-            }
         });
         side.received(ByteBuffer.wrap("GET /ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)));
         side.down();
--- /dev/null
+++ b/src/main/java/yewdock/daemon/NoWire.java
@@ -0,0 +1,32 @@
+package yewdock.daemon;
+
+import java.nio.ByteBuffer;
+import yewdock.platform.Wire;
+
+/** A connection that is none: what is written to it goes nowhere, and closing it closes nothing. */
+class NoWire implements Wire {
+    @Override
+    public void write(ByteBuffer bytes) {
+        // nobody reads it
+    }
+
+    @Override
+    public void close() {
+        // there is nothing to close
+    }
+
+    @Override
+    public void closeAfterWriting() {
+        close();
+    }
+
+    @Override
+    public void closeGently() {
+        close();
+    }
+
+    @Override
+    public void hold(boolean held) {
+        // never full
+    }
+}
--- a/src/main/java/yewdock/daemon/Rehearsal.java
+++ b/src/main/java/yewdock/daemon/Rehearsal.java
@@ -99,7 +99,7 @@
         // nobody asks for it
     }
 
-    private final class Nowhere implements Wire {
+    private final class Nowhere extends NoWire {
         private Side answers;
 
         @Override
@@ -128,20 +128,5 @@
                 due.add(answers::down);
             }
         }
-
-        @Override
-        public void closeAfterWriting() {
-            close();
-        }
-
-        @Override
-        public void closeGently() {
-            close();
-        }
-
-        @Override
-        public void hold(boolean held) {
-            // never full
-        }
     }
 }
--- a/src/main/java/yewdock/proof/StoreCost.java
+++ b/src/main/java/yewdock/proof/StoreCost.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -31,7 +32,8 @@
  * with many records and with none.
  */
 public final class StoreCost {
-    private static final int ROUNDS = 3;
+    /** Each setup in turn, by its name. */
+    public static final List<String> SETUPS = List.of("off", "on", "on, a peer hangs", "on, a peer floods");
     private static final int STARTS = 5;
     private static final int RECORDS = 10_000;
     private static final int CONNECTIONS = 64;
@@ -42,12 +44,18 @@
     private static final double FLOOD = 10e6;
 
     private final String main;
+    private final List<String> setups;
+    private final int rounds;
     private final int seconds;
     private final long seed;
     private final Consumer<String> out;
 
-    public StoreCost(String main, int seconds, long seed, Consumer<String> out) {
+    /** The cost of these setups, so many times each, so many seconds at a time. */
+    public StoreCost(String main, List<String> setups, int rounds, int seconds, long seed,
+            Consumer<String> out) {
         this.main = main;
+        this.setups = List.copyOf(setups);
+        this.rounds = rounds;
         this.seconds = seconds;
         this.seed = seed;
         this.out = out;
@@ -65,8 +73,11 @@
         // a listener that never accepts: the system takes the connection, nobody reads it
         try (ServerSocket hangs = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 FloodingPeer floods = new FloodingPeer("b", "a", FLOOD)) {
-            for (int round = 0; round < ROUNDS; round++) {
-                for (String setup : List.of("off", "on", "on, a peer hangs", "on, a peer floods")) {
+            for (int round = 0; round < rounds; round++) {
+                // by turns in turn: what comes first in a round must not always be the same
+                List<String> inTurn = new ArrayList<>(setups);
+                Collections.rotate(inTurn, round);
+                for (String setup : inTurn) {
                     costs.computeIfAbsent(setup, s -> new ArrayList<>()).add(
                             one(setup, folder.resolve(setup.replaceAll("\\W+", "-") + round),
                                     setup.endsWith("floods") ? floods.port() : hangs.getLocalPort(),
@@ -86,6 +97,8 @@
                         median(all.stream().mapToDouble(Cost::p50)),
                         median(all.stream().mapToDouble(Cost::p99))));
             });
+            costs.forEach((setup, all) -> out.accept("CPU us a request by rounds, " + setup + ": "
+                    + all.stream().map(c -> Math.round(c.cpuMicros)).toList()));
             out.accept("the flooding peer was read at " + floods.written() / 1_000_000 / (seconds
                     + WARM_MILLIS / 1000) + " MB/s, of " + FLOOD / 1e6);
             starts(folder);
