Copies compare buckets in one pass; one order of stamps, the store read once at a start

Need: on a last reading, a digest that differed went through all records once for each of 256 buckets and hashed every key anew; the order of stamp and instance stood in three places, the records' prefix in a store in three; a start read the store twice over; the copying kept a set that nobody read.

Change: a record's bucket is kept with it, Records.of deals all out in one pass, Records.order serves merging and comparing, Keys.STORED is the prefix, Archive reads once and has one way to its reducer. Behaviour is as it was.

--- a/src/main/java/yewdock/StoreCommands.java
+++ b/src/main/java/yewdock/StoreCommands.java
@@ -16,6 +16,7 @@
 import picocli.CommandLine.Parameters;
 import yewdock.daemon.Operator;
 import yewdock.settings.OperatorSettings;
+import yewdock.state.Keys;
 import yewdock.state.Records;
 import yewdock.store.Store;
 import yewdock.store.StoreException;
@@ -23,8 +24,6 @@
 
 /** What operators do with what a daemon keeps. */
 final class StoreCommands {
-    private static final String RECORDS = "r/";
-
     private StoreCommands() {
     }
 
@@ -117,9 +116,9 @@
 
     private static Map<String, Kept> records(Store store, String beginning) throws IOException {
         Map<String, Kept> all = new TreeMap<>();
-        for (Map.Entry<String, byte[]> e : store.prefix(RECORDS + beginning).entrySet()) {
+        for (Map.Entry<String, byte[]> e : store.prefix(Keys.STORED + beginning).entrySet()) {
             try {
-                all.put(e.getKey().substring(RECORDS.length()), Records.read(e.getValue()));
+                all.put(e.getKey().substring(Keys.STORED.length()), Records.read(e.getValue()));
             } catch (InvalidProtocolBufferException broken) {
                 throw new IOException("the record " + e.getKey() + " can't be read: " + broken.getMessage(),
                         broken);
@@ -203,7 +202,7 @@
                                     : Records.flaw(kept)));
                         }
                         if (merged == Records.Merged.TAKEN) {
-                            changes.put(RECORDS + kept.getKey(), Records.bytes(kept));
+                            changes.put(Keys.STORED + kept.getKey(), Records.bytes(kept));
                         }
                     }
                 }
--- a/src/main/java/yewdock/daemon/Archive.java
+++ b/src/main/java/yewdock/daemon/Archive.java
@@ -42,7 +42,6 @@
  * Everything here is done under one lock, and nothing under it waits for a disk or a peer.
  */
 final class Archive implements Closeable, Peers.Hearer {
-    private static final String RECORDS = "r/";
     private static final String JOINED = "joined";
     private static final String HORIZON = "horizon";
     private static final long TICK_MILLIS = 100;
@@ -121,14 +120,16 @@
     }
 
     private void load(Shelf shelf) {
-        shelf.all().forEach((key, bytes) -> {
-            if (!key.startsWith(RECORDS)) {
+        Map<String, byte[]> all = shelf.all();
+        all.forEach((key, bytes) -> {
+            if (!key.startsWith(Keys.STORED)) {
                 metaKept.put(key, ByteBuffer.wrap(bytes).getLong());
             }
         });
+        // before the records: the tombstones up to there are not missed
         records.forget(metaKept.getOrDefault(HORIZON, 0L));
-        shelf.all().forEach((key, bytes) -> {
-            if (key.startsWith(RECORDS)) {
+        all.forEach((key, bytes) -> {
+            if (key.startsWith(Keys.STORED)) {
                 try {
                     records.merge(Records.read(bytes));
                 } catch (InvalidProtocolBufferException e) {
@@ -193,7 +194,7 @@
         }
         List<String> keys = changed.stream().map(Kept::getKey).toList();
         long ticket = store(keys);
-        perform(replica.reduce(new ReplicaEvent.Changed(keys), wall()));
+        reduce(new ReplicaEvent.Changed(keys));
         return ticket;
     }
 
@@ -201,9 +202,9 @@
         Map<String, byte[]> changes = new HashMap<>();
         for (String key : keys) {
             Kept kept = records.raw(key);
-            changes.put(RECORDS + key, kept == null ? null : Records.bytes(kept));
+            changes.put(Keys.STORED + key, kept == null ? null : Records.bytes(kept));
         }
-        meta(JOINED, replica == null ? 0 : replica.joined(), changes);
+        meta(JOINED, replica.joined(), changes);
         meta(HORIZON, records.horizon(), changes);
         return committer.put(changes);
     }
@@ -328,17 +329,17 @@
 
     @Override
     public synchronized void up(String peer) {
-        perform(replica.reduce(new ReplicaEvent.Up(peer), wall()));
+        reduce(new ReplicaEvent.Up(peer));
     }
 
     @Override
     public synchronized void heard(String peer, PeerFrame frame) {
-        perform(replica.reduce(new ReplicaEvent.Heard(peer, frame), wall()));
+        reduce(new ReplicaEvent.Heard(peer, frame));
     }
 
     @Override
     public synchronized void down(String peer, String why) {
-        perform(replica.reduce(new ReplicaEvent.Down(peer, why), wall()));
+        reduce(new ReplicaEvent.Down(peer, why));
     }
 
     private void tick() {
@@ -347,7 +348,7 @@
                 TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
                 synchronized (this) {
                     if (wall() >= replica.nextDue()) {
-                        perform(replica.reduce(new ReplicaEvent.Tick(), wall()));
+                        reduce(new ReplicaEvent.Tick());
                         store(List.of());
                     }
                 }
@@ -357,8 +358,8 @@
         }
     }
 
-    private void perform(List<ReplicaEffect> effects) {
-        for (ReplicaEffect effect : effects) {
+    private void reduce(ReplicaEvent event) {
+        for (ReplicaEffect effect : replica.reduce(event, wall())) {
             if (effect instanceof ReplicaEffect.Send e) {
                 peers.send(e.peer(), e.frame());
             } else if (effect instanceof ReplicaEffect.Close e) {
--- a/src/main/java/yewdock/proof/StoreCost.java
+++ b/src/main/java/yewdock/proof/StoreCost.java
@@ -199,7 +199,7 @@
         for (int i = 0; i < RECORDS; i++) {
             Kept kept = records.write(Keys.box("i" + i % 4, i / 4), Kept.newBuilder().setBox(Box.newBuilder()
                     .setName("s-" + i).setAddress("10.0.0.1:8000").setId(i).setWeight(1)), 1);
-            all.put("r/" + kept.getKey(), Records.bytes(kept));
+            all.put(Keys.STORED + kept.getKey(), Records.bytes(kept));
         }
         try (Store store = Store.open(folder)) {
             store.write(all);
--- a/src/main/java/yewdock/replica/Replica.java
+++ b/src/main/java/yewdock/replica/Replica.java
@@ -45,7 +45,6 @@
     static final int MOST_ENTRIES = 2_000;
 
     private final String cluster;
-    private final Set<String> named;
     private final Records records;
     private final int mostTombstones;
     private final Map<String, Peer> peers = new TreeMap<>();
@@ -97,7 +96,6 @@
      */
     public Replica(String cluster, Set<String> named, Records records, long joined, int mostTombstones) {
         this.cluster = cluster;
-        this.named = Set.copyOf(named);
         this.records = records;
         this.joined = joined;
         this.mostTombstones = mostTombstones;
@@ -310,12 +308,12 @@
             return;
         }
         Buckets.Builder answer = Buckets.newBuilder();
-        for (int bucket : differing) {
-            List<Kept> of = records.of(List.of(bucket));
+        for (Map.Entry<Integer, List<Kept>> bucket : records.of(differing).entrySet()) {
+            List<Kept> of = bucket.getValue();
             if (answer.getEntriesCount() > 0 && answer.getEntriesCount() + of.size() > MOST_ENTRIES) {
                 break;
             }
-            answer.addIndexes(bucket);
+            answer.addIndexes(bucket.getKey());
             of.forEach(k -> answer.addEntries(Buckets.Entry.newBuilder().setKey(k.getKey())
                     .setHash(records.hash(k.getKey())).setStamp(k.getStamp()).setInstance(k.getInstance())));
         }
@@ -347,30 +345,24 @@
         for (Buckets.Entry e : theirs.getEntriesList()) {
             there.put(e.getKey(), e);
             Kept mine = records.raw(e.getKey());
-            if (mine == null || records.hash(e.getKey()) != e.getHash() && !isOlder(e, mine)) {
+            if (mine == null || records.hash(e.getKey()) != e.getHash() && order(e, mine) >= 0) {
                 want.add(e.getKey());
             }
         }
-        for (Kept mine : records.of(theirs.getIndexesList())) {
+        records.of(theirs.getIndexesList()).values().forEach(of -> of.forEach(mine -> {
             Buckets.Entry e = there.get(mine.getKey());
-            if (e == null || e.getHash() != records.hash(mine.getKey()) && !isNewer(e, mine)) {
+            if (e == null || e.getHash() != records.hash(mine.getKey()) && order(e, mine) <= 0) {
                 p.dirty.add(mine.getKey());
             }
-        }
+        }));
         if (!want.isEmpty()) {
             send(p, PeerFrame.newBuilder().setWant(Want.newBuilder().addAllKeys(want)));
         }
         push(p);
     }
 
-    private static boolean isOlder(Buckets.Entry e, Kept mine) {
-        return e.getStamp() < mine.getStamp() || e.getStamp() == mine.getStamp()
-                && e.getInstance().compareTo(mine.getInstance()) < 0;
-    }
-
-    private static boolean isNewer(Buckets.Entry e, Kept mine) {
-        return e.getStamp() > mine.getStamp() || e.getStamp() == mine.getStamp()
-                && e.getInstance().compareTo(mine.getInstance()) > 0;
+    private static int order(Buckets.Entry theirs, Kept mine) {
+        return Records.order(theirs.getStamp(), theirs.getInstance(), mine);
     }
 
     private void want(Peer p, Collection<String> keys) {
--- a/src/main/java/yewdock/state/Keys.java
+++ b/src/main/java/yewdock/state/Keys.java
@@ -5,6 +5,8 @@
  * key: no other writes it. Operators' marks are everybody's.
  */
 public final class Keys {
+    /** What the key of a record begins with in a store, where other things lie beside the records. */
+    public static final String STORED = "r/";
     private static final String MARKS = "mark/";
     private static final String BOXES = "box/";
     private static final String NODES = "node/";
--- a/src/main/java/yewdock/state/Records.java
+++ b/src/main/java/yewdock/state/Records.java
@@ -11,6 +11,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.NavigableMap;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import yewdock.wire.Dropped;
@@ -39,7 +40,7 @@
     private int tombstones;
 
     /** A record with its bytes in their one form, and their hash. */
-    private record Entry(Kept kept, byte[] bytes, long hash) {
+    private record Entry(Kept kept, byte[] bytes, long hash, int bucket) {
     }
 
     /** What became of a record that came. */
@@ -113,17 +114,20 @@
     }
 
     private static int order(Entry a, Entry b) {
-        int order = Long.compare(a.kept.getStamp(), b.kept.getStamp());
-        if (order == 0) {
-            order = a.kept.getInstance().compareTo(b.kept.getInstance());
-        }
+        int order = order(a.kept.getStamp(), a.kept.getInstance(), b.kept);
         return order != 0 ? order : Arrays.compare(a.bytes, b.bytes);
     }
 
+    /** Which comes later, one with this stamp, of this instance, or that: 0 if only their bytes can tell. */
+    public static int order(long stamp, String instance, Kept that) {
+        int order = Long.compare(stamp, that.getStamp());
+        return order != 0 ? order : instance.compareTo(that.getInstance());
+    }
+
     private void put(Entry entry) {
         remove(entry.kept.getKey());
         entries.put(entry.kept.getKey(), entry);
-        sums[bucket(entry.kept.getKey())] += entry.hash;
+        sums[entry.bucket] += entry.hash;
         bytes += entry.bytes.length;
         tombstones += entry.kept.hasDropped() ? 1 : 0;
     }
@@ -131,7 +135,7 @@
     private void remove(String key) {
         Entry before = entries.remove(key);
         if (before != null) {
-            sums[bucket(key)] -= before.hash;
+            sums[before.bucket] -= before.hash;
             bytes -= before.bytes.length;
             tombstones -= before.kept.hasDropped() ? 1 : 0;
         }
@@ -139,7 +143,7 @@
 
     private static Entry entry(Kept kept) {
         byte[] bytes = bytes(kept);
-        return new Entry(kept, bytes, Hashing.xxh3_64().hashBytesToLong(bytes));
+        return new Entry(kept, bytes, Hashing.xxh3_64().hashBytesToLong(bytes), bucket(kept.getKey()));
     }
 
     /** One form for one content: maps in the order of their keys. */
@@ -235,16 +239,16 @@
         return found;
     }
 
-    /** The records of some buckets. */
-    public List<Kept> of(Collection<Integer> buckets) {
-        boolean[] wanted = new boolean[BUCKETS];
-        buckets.forEach(b -> wanted[b] = true);
-        List<Kept> found = new ArrayList<>();
-        entries.forEach((key, e) -> {
-            if (wanted[bucket(key)]) {
-                found.add(e.kept);
+    /** The records of each of these buckets, in one pass over all. */
+    public SortedMap<Integer, List<Kept>> of(Collection<Integer> buckets) {
+        SortedMap<Integer, List<Kept>> found = new TreeMap<>();
+        buckets.forEach(b -> found.put(b, new ArrayList<>()));
+        for (Entry e : entries.values()) {
+            List<Kept> wanted = found.get(e.bucket);
+            if (wanted != null) {
+                wanted.add(e.kept);
             }
-        });
+        }
         return found;
     }
 
--- a/src/main/java/yewdock/store/Store.java
+++ b/src/main/java/yewdock/store/Store.java
@@ -211,17 +211,21 @@
         try {
             ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file.resolveSibling(NUMBER)));
             long number = bytes.getLong();
-            return bytes.getLong() == Hashing.xxh3_64().hashStream().putLong(number).getAsLong() ? number : 0;
+            return bytes.getLong() == sealOf(number) ? number : 0;
         } catch (IOException | BufferUnderflowException e) {
             // killed before the first commit, or half written by a kill: then nothing can be told
             return 0;
         }
     }
 
+    private static long sealOf(long number) {
+        return Hashing.xxh3_64().hashStream().putLong(number).getAsLong();
+    }
+
     /** Never before the commit is on the disk; not synced itself, for being behind does no harm. */
     private void noteNumber() {
         ByteBuffer bytes = ByteBuffer.allocate(2 * Long.BYTES).putLong(number)
-                .putLong(Hashing.xxh3_64().hashStream().putLong(number).getAsLong());
+                .putLong(sealOf(number));
         try {
             Files.write(file.resolveSibling(NUMBER), bytes.array());
         } catch (IOException e) {
