--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -10,6 +10,7 @@
 import yewdock.daemon.Generation;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.platform.Config;
 import yewdock.log.Say;
 import yewdock.platform.Front;
@@ -53,8 +54,7 @@
             return 1;
         }
         Counters counters = new Counters();
-        Desk desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(),
-                config.bounds(), counters,
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
                 actions -> new BoundedLoadRouter(config.settings(), config.seed(), actions));
         Sockets sockets = new Sockets(config.bounds().clients());
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -14,6 +14,7 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.OtherNews;
@@ -184,7 +185,7 @@
             left.counters().forEach(counters::add);
         }
         countedBefore = counters.all();
-        desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), config.bounds(),
+        desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(),
                 counters, actions -> {
                     router = left == null || left.memory() == null
                             ? new GenerationRouter(config.settings(), seed(), actions)
--- a/src/main/java/yewdock/daemon/Rehearsal.java
+++ b/src/main/java/yewdock/daemon/Rehearsal.java
@@ -14,6 +14,7 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.desk.ModelBox;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
@@ -42,7 +43,7 @@
 
     private Rehearsal(Config config) {
         this.config = config;
-        Desk desk = new Desk(config.settings().limits().connectTimeout(), config.keepalive(), config.bounds(),
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(),
                 counters, actions -> new GenerationRouter(config.settings(), 1, actions));
         front = new Front(config, desk, counters, this, () -> now, line -> { });
     }
--- /dev/null
+++ b/src/main/java/yewdock/desk/Line.java
@@ -0,0 +1,17 @@
+package yewdock.desk;
+
+/** A connection to a box. It carries one try at a time. */
+final class Line {
+    final long id;
+    final ModelBox box;
+    boolean up;
+    boolean closing;
+    boolean held;
+    Try current;
+    long idleSince;
+
+    Line(long id, ModelBox box) {
+        this.id = id;
+        this.box = box;
+    }
+}
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -3,12 +3,29 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-/** The watch on the box list, as a part of the reducer: one call at a time, at one address. */
+/**
+ * The watch on the box list, as a part of the reducer: one call at a time, at one address.
+ *
+ * <p>A list that is asked is one service for all routers, so the module says when a call is made anew after
+ * a failure; the watch only sees that a call is never forgotten. A list that is pushed lies with an agent on
+ * this machine, and what the agent has counts as told: there the watch goes on by itself from the first
+ * moment, and a call that brings nothing is made anew well within the time in which a drain must be kept.
+ */
 final class ListWatch {
     /** How long a call for the list may wait for news, and how much longer the answer may take. */
     static final long WAIT = 4_000_000;
     static final long PATIENCE = 2_500_000;
+    /** Of the drain's grace, a call at an agent may wait for this part, and its answer take another. */
+    private static final int GRACE_PARTS = 4;
+    private static final long LEAST_PART = 50_000;
+    /** An agent's answers may take this many times longer once calls have failed: it may be slow, not gone. */
+    private static final int MOST_PATIENCE = 4;
+    /** The first call after a failure at an agent waits so long, each further one twice as long. */
+    private static final long AGAIN = 20_000;
+    /** An answer with no news that did not wait is followed by a call so much later: 200 ms end a watch. */
+    private static final long PACE = 50_000;
 
+    private final Terms terms;
     private final LongSupplier now;
     private final Timers timers;
     private final Counters counters;
@@ -17,11 +34,14 @@
     private String address;
     private long version = -1;
     private long call;
+    private long calledAt;
     private boolean out;
     private boolean asked;
+    private int failures;
 
-    ListWatch(LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
+    ListWatch(Terms terms, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
             Runnable whenLate) {
+        this.terms = terms;
         this.now = now;
         this.timers = timers;
         this.counters = counters;
@@ -33,6 +53,22 @@
     void begin(String where, long known) {
         address = where;
         version = known;
+        calledAt = now.getAsLong();
+        if (terms.listPushed()) {
+            ask(0);
+        } else {
+            remember();
+        }
+    }
+
+    /** Against a module that forgets to call: nothing told for so long counts as told all the same. */
+    private void remember() {
+        timers.at(now.getAsLong() + terms.askWithin(), () -> {
+            if (!out && now.getAsLong() - calledAt >= terms.askWithin()) {
+                ask(0);
+            }
+            remember();
+        });
     }
 
     /**
@@ -45,6 +81,7 @@
         }
         address = where;
         version = -1;
+        failures = 0;
         if (out) {
             effects.accept(new Effect.HangUpList());
         }
@@ -71,9 +108,10 @@
     private void ask(long wait) {
         out = true;
         long mine = ++call;
+        calledAt = now.getAsLong();
         counters.add("list.calls");
         effects.accept(new Effect.AskList(address, version, wait));
-        timers.at(now.getAsLong() + wait + PATIENCE, () -> {
+        timers.at(calledAt + wait + patience(), () -> {
             if (out && call == mine) {
                 effects.accept(new Effect.HangUpList());
                 whenLate.run();
@@ -81,19 +119,51 @@
         });
     }
 
+    private void askLater(long delay, long wait) {
+        long last = call;
+        timers.at(now.getAsLong() + delay, () -> {
+            if (!out && call == last) {
+                ask(wait);
+            }
+        });
+    }
+
+    /** Half of the grace is left for what comes after the answer. */
+    private long part() {
+        return Math.min(WAIT, Math.max(LEAST_PART, terms.drainGrace() / GRACE_PARTS));
+    }
+
+    private long patience() {
+        return terms.listPushed() ? Math.min(PATIENCE, part() * Math.min(MOST_PATIENCE, 1 + failures))
+                : PATIENCE;
+    }
+
     /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
     boolean came(BoxList list) {
         boolean news = asked || list.full() || !list.boxes().isEmpty();
         asked = false;
+        out = false;
+        failures = 0;
         version = list.version();
         counters.add("list.answers");
-        ask(WAIT);
+        if (news || now.getAsLong() - calledAt >= PACE) {
+            ask(terms.listPushed() ? part() : WAIT);
+        } else {
+            askLater(PACE, terms.listPushed() ? part() : WAIT);
+        }
         return news;
     }
 
-    void failed() {
+    /** A call has failed; tells whether the module should hear of it, for it is then the one to call again. */
+    boolean failed() {
+        boolean tell = asked || !terms.listPushed();
         out = false;
         asked = false;
         counters.add("list.failures");
+        if (terms.listPushed()) {
+            askLater(Math.min(part(), AGAIN << Math.min(failures, 8)), 0);
+            failures++;
+        }
+        return tell;
     }
 }
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -12,15 +12,18 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.ModelRequest;
 
 /** The router refuses before it runs out of memory or descriptors. */
 class BoundsTest {
+    private static final Terms TERMS = new Terms(250_000, 5_000_000, false, 1_000_000, 10_000_000, false, 4,
+            List.of());
     private static final int MEGABYTE = 1 << 20;
     private final Counters counters = new Counters();
-    private final Desk desk = new Desk(250_000, 5_000_000,
+    private final Desk desk = new Desk(TERMS,
             new Bounds(480, 400, 500, 16 * MEGABYTE), counters, InOrderModule::new);
 
     private List<Effect> ask(long client, int size) {
@@ -68,7 +71,7 @@
     /** Many quiet or silent connections must not keep a new client out: one goes for each that comes. */
     @Test
     void closesTheLongestQuietForNewcomers() {
-        Desk small = new Desk(250_000, 5_000_000, new Bounds(4, 4, 4, MEGABYTE), counters,
+        Desk small = new Desk(TERMS, new Bounds(4, 4, 4, MEGABYTE), counters,
                 InOrderModule::new);
         small.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
         for (long client = 1; client <= 4; client++) {
--- a/src/test/java/yewdock/ChurnTest.java
+++ b/src/test/java/yewdock/ChurnTest.java
@@ -14,6 +14,7 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.ModelBox;
@@ -21,10 +22,12 @@
 
 /** Clients and boxes that come and go for as long as the router runs must leave nothing behind. */
 class ChurnTest {
+    private static final Terms TERMS = new Terms(250_000, 5_000_000, false, 1_000_000, 10_000_000, false, 4,
+            List.of());
     private static final int ROUNDS = 600;
     private static final long STEP = 50_000;
     private final Counters counters = new Counters();
-    private final Desk desk = new Desk(250_000, 5_000_000, new Bounds(40, 20, 20, 1 << 20), counters,
+    private final Desk desk = new Desk(TERMS, new Bounds(40, 20, 20, 1 << 20), counters,
             InOrderModule::new);
     private long now;
     private long client;
--- /dev/null
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -0,0 +1,269 @@
+package yewdock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import umberspread.Routing;
+import umberspread.Routing.Lifecycle;
+import umberspread.Routing.ListKind;
+import umberspread.Routing.Replica;
+import yewdock.desk.Bounds;
+import yewdock.desk.BoxList;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.ModelBox;
+import yewdock.desk.ModelRequest;
+import yewdock.desk.Terms;
+
+/** A list that is pushed to an agent: what the agent has counts as told, whatever becomes of the calls. */
+class PushedListTest {
+    private static final long GRACE = 500_000;
+    private static final Terms PUSHED = new Terms(250_000, 30_000_000, true, GRACE, 10_000_000, true, 4,
+            List.of(true));
+    private final Counters counters = new Counters();
+    private final Agent agent = new Agent();
+    private final List<String> told = new ArrayList<>();
+    private final Desk desk = new Desk(PUSHED, new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
+    private long now;
+    private Routing.Actions module;
+
+    /** Sends each request to box 1 and notes what it is told of the list. */
+    private final class Module implements Routing.Events {
+        Module(Routing.Actions actions) {
+            module = actions;
+        }
+
+        @Override
+        public void started(long time) {
+            // a pushed list gives the module no cause to ask
+        }
+
+        @Override
+        public void listReceived(long time, ListKind kind, List<Replica> entries) {
+            told.add(kind + " " + entries.stream().map(r -> r.id() + ":" + r.lifecycle()).toList());
+        }
+
+        @Override
+        public void requestArrived(long time, Routing.Request request) {
+            module.send(request.id(), 1, 0);
+        }
+
+        @Override
+        public void firstToken(long time, long requestId, int attempt) {
+            // not played here
+        }
+
+        @Override
+        public void attemptEnded(long time, long requestId, int attempt, Routing.Outcome outcome, long took,
+                boolean over, long kept, Routing.LoadReport report) {
+            told.add(outcome.name());
+        }
+
+        @Override
+        public void requestGone(long time, long requestId) {
+            // not played here
+        }
+
+        @Override
+        public void woken(long time, int token) {
+            // asks for no times
+        }
+    }
+
+    /** Answers calls on the desk's clock, except while it is silent. */
+    private final class Agent {
+        private BoxList list = new BoxList(7, true, List.of(box(1, Lifecycle.READY)));
+        private boolean silent;
+        private boolean refusing;
+        private boolean hasty;
+        private Effect.AskList open;
+        private long openUntil;
+        private final List<Long> calls = new ArrayList<>();
+        private final List<Long> since = new ArrayList<>();
+
+        void called(Effect.AskList call) {
+            calls.add(now);
+            since.add(call.since());
+            open = call;
+            openUntil = hasty ? now : now + call.longest();
+        }
+
+        void look() {
+            if (open == null || silent) {
+                return;
+            }
+            if (refusing) {
+                open = null;
+                happens(new Event.ListFailed());
+            } else if (open.since() != list.version() || now >= openUntil) {
+                boolean whole = open.since() != list.version();
+                open = null;
+                happens(new Event.ListCame(whole ? list : new BoxList(list.version(), false, List.of())));
+            }
+        }
+    }
+
+    private static ModelBox box(long id, Lifecycle state) {
+        return new ModelBox("s-" + id, "127.0.0.1:9001", new Replica(id, 0, 0, 1, 1, state, 0));
+    }
+
+    private List<Effect> happens(Event event) {
+        List<Effect> effects = desk.reduce(event, now);
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.AskList call) {
+                agent.called(call);
+            } else if (effect instanceof Effect.HangUpList) {
+                agent.open = null;
+            } else if (effect instanceof Effect.CloseLine e) {
+                happens(new Event.LineDown(e.line()));
+            }
+        }
+        return effects;
+    }
+
+    private void start() {
+        happens(new Event.Started(agent.list, "127.0.0.1:8500"));
+    }
+
+    private void pass(long micros) {
+        for (long until = now + micros; now < until;) {
+            now += 5_000;
+            if (desk.nextDue() <= now) {
+                happens(new Event.Tick());
+            }
+            agent.look();
+        }
+    }
+
+    private void drainBoxOne() {
+        agent.list = new BoxList(agent.list.version() + 1, true,
+                List.of(box(1, Lifecycle.DRAINING), box(2, Lifecycle.READY)));
+    }
+
+    /** How long after now the module is told of the drain. */
+    private long untilTold() {
+        long at = now;
+        while (told.stream().noneMatch(line -> line.contains("1:DRAINING"))) {
+            pass(5_000);
+            assertTrue(now - at < 60_000_000, "never told");
+        }
+        return now - at;
+    }
+
+    /** Before, only the module's call began the watch, and with a pushed list it has no cause to call. */
+    @Test
+    void theWatchGoesOnFromTheFirstMomentThoughNobodyAsks() {
+        start();
+        drainBoxOne();
+        assertTrue(untilTold() < GRACE / 2);
+        pass(10_000_000);
+        assertEquals(List.of(), told.stream().filter(line -> line.startsWith("FAILED")).toList());
+        assertTrue(agent.calls.size() < 120, "a storm: " + agent.calls.size());
+    }
+
+    /** What the configuration knew may be long past: the first call asks for all that came after it. */
+    @Test
+    void aChangeBetweenTheKnownListAndTheFirstWatchIsTold() {
+        BoxList known = agent.list;
+        drainBoxOne();
+        happens(new Event.Started(known, "127.0.0.1:8500"));
+        assertEquals(List.of(7L), agent.since);
+        assertTrue(untilTold() < GRACE / 2);
+    }
+
+    /** The agent has the drain, and only the call that is out is dead. */
+    @Test
+    void aDeadCallIsMadeAnewWithinTheGrace() {
+        start();
+        pass(2_000_000);
+        agent.open = null;
+        drainBoxOne();
+        assertTrue(untilTold() < GRACE, "too late");
+    }
+
+    @Test
+    void aResetIsFollowedByTheNextCallAtOnce() {
+        start();
+        pass(2_000_000);
+        agent.open = null;
+        drainBoxOne();
+        happens(new Event.ListFailed());
+        assertTrue(untilTold() < GRACE / 4);
+        assertTrue(told.stream().noneMatch(line -> line.startsWith("FAILED")), told.toString());
+    }
+
+    /** Three boxes are replaced while it is silent: the view comes right as soon as it speaks. */
+    @Test
+    void aSilentAgentIsCalledWithoutAStormAndBelievedWhenItIsBack() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        int before = agent.calls.size();
+        pass(10_000_000);
+        int made = agent.calls.size() - before;
+        assertTrue(made >= 10 && made <= 60, "calls in ten silent seconds: " + made);
+        agent.list = new BoxList(20, true, List.of(box(11, Lifecycle.READY), box(12, Lifecycle.READY),
+                box(13, Lifecycle.READY)));
+        agent.silent = false;
+        pass(GRACE);
+        assertEquals("FULL [11:READY, 12:READY, 13:READY]", told.get(told.size() - 1));
+    }
+
+    @Test
+    void aRefusingAgentIsCalledWithoutAStorm() {
+        start();
+        agent.refusing = true;
+        pass(10_000_000);
+        assertTrue(agent.calls.size() >= 40 && agent.calls.size() <= 120, "calls: " + agent.calls.size());
+        agent.refusing = false;
+        drainBoxOne();
+        assertTrue(untilTold() < GRACE / 2);
+    }
+
+    /** One that never waits must not be asked as fast as it answers, and still within 200 ms. */
+    @Test
+    void anAgentThatNeverWaitsIsNotAskedInALoop() {
+        start();
+        agent.hasty = true;
+        pass(5_000_000);
+        assertTrue(agent.calls.size() <= 110, "calls: " + agent.calls.size());
+        for (int i = 1; i < agent.calls.size(); i++) {
+            assertTrue(agent.calls.get(i) - agent.calls.get(i - 1) < 200_000);
+        }
+    }
+
+    /** Moved by a new configuration: the whole list is asked for, whatever was out. */
+    @Test
+    void aMovedAgentIsAskedForTheWholeList() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        pass(3_000_000);
+        agent.silent = false;
+        drainBoxOne();
+        happens(new Event.ListMoved("127.0.0.1:8501"));
+        assertEquals(-1L, agent.since.get(agent.since.size() - 1));
+        assertTrue(untilTold() < GRACE / 4);
+    }
+
+    /** The drain comes while the connection is being made: the request must not go out over it. */
+    @Test
+    void aDrainStopsATryWhoseLineIsBeingMade() {
+        start();
+        happens(new Event.ClientCame(1));
+        List<Effect> effects = happens(new Event.Asked(1,
+                new ModelRequest("r1", 0, 0, false, 1, 1, 1, 0, 9, 900_000, 100)));
+        long line = effects.stream().filter(Effect.OpenLine.class::isInstance)
+                .map(Effect.OpenLine.class::cast).findFirst().orElseThrow().line();
+        drainBoxOne();
+        untilTold();
+        assertFalse(happens(new Event.LineUp(line)).stream().anyMatch(Effect.SendTry.class::isInstance));
+        assertEquals("NOT_SENT", told.get(told.size() - 1));
+    }
+}
--- a/src/test/java/yewdock/daemon/GenerationsSimTest.java
+++ b/src/test/java/yewdock/daemon/GenerationsSimTest.java
@@ -24,6 +24,7 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.ModelBox;
@@ -47,6 +48,8 @@
  * seed, one run.
  */
 class GenerationsSimTest {
+    private static final Terms TERMS = new Terms(250_000, 5_000_000, false, 1_000_000, 10_000_000, false, 4,
+            List.of());
     private static final int SEEDS = Integer.getInteger("sim.seeds", 60);
     private static final int IDS = 25;
     private static final int CLIENTS = 14;
@@ -421,7 +424,7 @@
                     broken.add(e.getMessage());
                     return;
                 }
-                desk = new Desk(250_000, 5_000_000, new Bounds(60, 60, 60, 1 << 20), counters, actions -> {
+                desk = new Desk(TERMS, new Bounds(60, 60, 60, 1 << 20), counters, actions -> {
                     router = left == null ? new GenerationRouter(config.settings(), number, actions)
                             : new GenerationRouter(config.settings(), number, actions, left.memory(),
                                     left.shift());
