The module weighed on two deployments: nothing shed, sessions stay, copies after half the aim

Kept prompts counted by class: 38% of the turns of resolve ran at another box than the one that served the session last, and there 3,246 tokens had to be read against 1,548; first tokens were late in 2% only, so late answers are slow streams behind too much reading.

Sessions keeps who served a session last. A request of no more than average worth bears the part of its aim that a late answer is worth. A second copy goes out after half the aim where copies are allowed and few boxes are slow; a box that says nothing while copies are answered elsewhere counts as broken.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -94,23 +94,10 @@
     private static final double METER_AIMS = 5;
     /** A cold replica is empty too: it gets this part of what would fell it, were the rest at capacity. */
     private static final double COLD_MARGIN = 0.4;
-    /** Weight of one request in the running share of late ones: about the last twenty count. */
-    private static final double LATE_WEIGHT = 0.05;
-    /** Low worth is shed while more than this part of the high-worth answers is late. */
-    private static final double LATE_GOAL = 0.1;
-    /** All late, shedding grows from nothing to all in this many aims. */
-    private static final double SHED_AIMS = 3;
-    /** The most of the low-worth traffic that is shed. */
-    private static final double MOST_SHED = 0.9;
     /** An attempt is lost when a later one's first token is ahead of it by this part of the shortest aim. */
     private static final int OVERTAKE_PART = 10;
-    /** A request of more than average worth gets a second try when this part of its aim has passed. */
+    /** A request gets a second copy, where copies are allowed, when this part of its aim has passed. */
     private static final int HEDGE_PART = 2;
-    /** But only while answers get lost: more than this part of them, over about the last fifty. */
-    private static final double LOSS_SEEN = 0.02;
-    private static final double LOSS_WEIGHT = 0.02;
-    /** Few losses are overtaken and so seen: each stands for this many. */
-    private static final int LOSSES_UNSEEN = 3;
     /** A refused client is told to come back after this part of its aim: there is time for one more try. */
     private static final int RETURN_PART = 8;
     /** At most one log line a second. */
@@ -153,11 +140,9 @@
     double readRate;
     double unitWeight;
     private long latest = Long.MIN_VALUE;
-    double lateShare;
-    double shed;
     final double[] classTime;
     final Map<Integer, Double> kindTime = new HashMap<>();
-    double lossShare;
+    private final Sessions sessions = new Sessions();
     private long nextLogAt;
     final double[] tenantTally;
 
@@ -219,6 +204,7 @@
         long lastDelay;
         long coldBudgetAt;
         long budgetedStart;
+        long spokeAt;
 
         Node(Replica replica, int points, int classes) {
             this.restUntil = new long[classes];
@@ -237,7 +223,6 @@
         private boolean mayHaveRun = true;
         private boolean overdue;
         private boolean overtaken;
-        private boolean lost;
         private long firstTokenAfter;
         private final Pending request;
 
@@ -524,6 +509,9 @@
 
     /** The key's ring position, a walk of distinct ready replicas, the bound, spill in ring order. */
     private Node pick(Pending p, boolean free, long now) {
+        if (!free && staysAt(p, sessions.last(p.request.session()), now)) {
+            return sessions.last(p.request.session());
+        }
         Hot h = hot.get(p.key);
         int wanted = h == null ? 1 : h.spread;
         long session = mix(p.sessionOrId() ^ p.key);
@@ -568,6 +556,16 @@
         return best != null ? best : overBound;
     }
 
+    /**
+     * Against a history read anew: a session that was spilled goes on where it was spilled to, on the terms on
+     * which the ring would pick that replica.
+     */
+    private boolean staysAt(Pending p, Node n, long now) {
+        return n != null && nodes.get(n.replica.id()) == n && n.replica.lifecycle() == Lifecycle.READY
+                && n.pools.contains(p.pool) && mayTake(p, n, now)
+                && !((cheapToRead(p) || warmth(n, now) < 1) && overBound(p, n, now));
+    }
+
     /** One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. */
     private boolean overBound(Pending p, Node n, long now) {
         double average = (p.pool.inFlight + 1) * weight(n) * warmth(n, now) / p.pool.capacity;
@@ -584,10 +582,10 @@
      */
     private void plan(long now) {
         long elapsed = now - plannedAt;
-        adjustShed(elapsed);
         double decay = Math.exp(-(double) elapsed / (POPULARITY_MEMORY * patience));
         plannedAt = now;
         planStale = false;
+        sessions.forget(now - POPULARITY_MEMORY * patience);
         unnamed *= decay;
         double total = unnamed;
         double meterDecay = Math.exp(-(double) elapsed / (METER_AIMS * planEvery * PLANS_PER_AIM));
@@ -703,20 +701,14 @@
     /**
      * A hung, paused or jammed replica hoards streams: it owes a first token past a part of its aim, or did
      * so a short while ago. What it could only answer late is refused at once, so that the jam can end. More
-     * than average worth stays where its session is kept while the wait is a small part of its own aim.
+     * than average worth stays where its session is kept while the wait is a small part of its own aim; the
+     * rest while it is the part that a late answer is worth, for to leave is to be read anew or refused.
      */
     private boolean slow(Pending p, Node n, long now) {
         if (n.overdue == 0 && n.slowUntil <= now) {
             return false;
         }
-        if (lossShare > LOSS_SEEN && n.waiting.size() == 1 && n.slowUntil <= now
-                && n.waiting.peek().request.type != p.type) {
-            return false;
-        }
-        if (!aboveAverage(p)) {
-            return true;
-        }
-        long bearable = aim(p) / BEARABLE_PART;
+        long bearable = aboveAverage(p) ? aim(p) / BEARABLE_PART : (long) (aim(p) * p.type.lateWorth());
         Attempt oldest = n.waiting.peek();
         return oldest != null && now - oldest.sentAt > bearable
                 || n.slowUntil > now && n.lastDelay > bearable;
@@ -804,10 +796,6 @@
         }
         p.worth = p.type.worth() * (overShare(request) ? settings.overShareWorth() : 1);
         averageWorth += (p.worth - averageWorth) * WORTH_WEIGHT;
-        if (p.worth < averageWorth && pool.ready > 0 && random.nextDouble() < shed) {
-            giveFinalAnswer(p);
-            return;
-        }
         dispatch(p, now);
     }
 
@@ -825,21 +813,6 @@
         return random.nextDouble() < excess;
     }
 
-    /** Against low-worth work that makes high-worth answers late, see {@link #adjustShed}. */
-    private void noteLateness(Pending p, boolean late) {
-        if (aboveAverage(p)) {
-            lateShare += ((late ? 1 : 0) - lateShare) * LATE_WEIGHT;
-        }
-    }
-
-    /** Sheds low worth while more than its goal of the high worth is late; ends when it is not. */
-    private void adjustShed(long elapsed) {
-        double aims = Math.min(1, (double) elapsed / (planEvery * PLANS_PER_AIM));
-        double over = lateShare - LATE_GOAL;
-        double change = (over > 0 ? over : over / LATE_GOAL / 2) * aims / SHED_AIMS;
-        shed = Math.max(0, Math.min(MOST_SHED, shed + change));
-    }
-
     private boolean aboveAverage(Pending p) {
         return p.worth > averageWorth * ABOVE;
     }
@@ -884,7 +857,7 @@
         if (p.attempts.size() == 1) {
             tally(p);
             reviewAt(p, now + aim(p) / OVERDUE_PART);
-            if (aboveAverage(p)) {
+            if (settings.limits().mayDuplicate()) {
                 reviewAt(p, now + aim(p) / HEDGE_PART);
             }
         }
@@ -919,9 +892,10 @@
             return;
         }
         p.attempts.get(attempt).firstTokenAfter = now - p.attempts.get(attempt).sentAt;
-        noteLateness(p, p.attempts.get(attempt).firstTokenAfter > aim(p));
         p.begun = true;
-        lossShare -= lossShare * LOSS_WEIGHT;
+        p.attempts.get(attempt).node.spokeAt = now;
+        p.attempts.get(attempt).node.breaks = 0;
+        sessions.served(p.request.session(), p.attempts.get(attempt).node, now);
         p.attempts.get(attempt).node.onTrial = false;
         notOverdue(p.attempts.get(attempt), now);
         cancelOthers(p, attempt);
@@ -951,8 +925,8 @@
 
     /** What is due for a request whose answer has not begun: its replica may be slow, or its attempt lost. */
     private void review(Pending p, long now) {
-        boolean more = aboveAverage(p) && lossShare > LOSS_SEEN && settings.limits().mayDuplicate()
-                && now >= p.arrivedAt + aim(p) / HEDGE_PART;
+        boolean more = settings.limits().mayDuplicate() && now >= p.arrivedAt + aim(p) / HEDGE_PART
+                && roomy(p, now);
         boolean first = !p.judged;
         p.judged = true;
         Attempt last = null;
@@ -963,11 +937,6 @@
             last = a;
             if (a.overtaken) {
                 more = true;
-                if (!a.lost) {
-                    a.lost = true;
-                    lossShare += (1 - lossShare) * LOSS_WEIGHT * LOSSES_UNSEEN;
-                    silent(p, a.node, now);
-                }
                 if (a.overdue) {
                     a.overdue = false;
                     a.node.overdue--;
@@ -1011,19 +980,16 @@
         a.node.load--;
         a.node.waiting.remove(a);
         a.pools.forEach(pool -> pool.inFlight--);
+        // copies answered elsewhere while it said nothing to anyone: a vanished machine refuses nothing
+        boolean silence = a.firstTokenAfter == 0 && a.overdue && roomy(p, now) && a.node.spokeAt < a.sentAt
+                && outcome == Outcome.CANCELLED;
         notOverdue(a, now);
-        judge(a.node, outcome, now);
+        judge(a.node, silence ? Outcome.RESET : outcome, now);
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
             strike(p, a.node, now);
         } else if (outcome == Outcome.OK) {
             a.node.strikes[p.request.requestClass()] /= 2;
         }
-        if (a.firstTokenAfter == 0 && outcome == Outcome.TIMEOUT) {
-            silent(p, a.node, now);
-            if (lossShare <= LOSS_SEEN) {
-                noteLateness(p, true);
-            }
-        }
         if (outcome == Outcome.OK) {
             learnReadRate(p, a, keptTokens);
             learnSpeed(p, a, now);
@@ -1033,7 +999,7 @@
             cancelOthers(p, attempt);
         }
         if (!p.over && !p.anyOut()) {
-            if (mayTryAgain(p, outcome, now)) {
+            if (mayTryAgain(p, a, outcome, now)) {
                 dispatch(p, now);
             } else {
                 giveFinalAnswer(p);
@@ -1042,11 +1008,20 @@
         forgetIfDone(p);
     }
 
-    private boolean mayTryAgain(Pending p, Outcome outcome, long now) {
-        return outcome != Outcome.TIMEOUT && now < p.deadline && inBudget(p, now)
+    private boolean mayTryAgain(Pending p, Attempt a, Outcome outcome, long now) {
+        return outcome != Outcome.TIMEOUT && now < p.deadline && (inBudget(p, now) || turnedAway(p, a, now))
                 && p.attempts.size() < settings.limits().maxAttempts();
     }
 
+    /**
+     * Against refusals while a replica drains that the list does not tell of yet: where it turns away though
+     * nothing waits there, that is no jam, and its request may go on beyond the router's own budget.
+     */
+    private boolean turnedAway(Pending p, Attempt a, long now) {
+        return !a.mayHaveRun && settings.contract().attempts().window() == 0
+                && a.node.overdue == 0 && a.node.slowUntil <= now && roomy(p, now);
+    }
+
     /**
      * The budget of attempts beyond requests' first, exact in every window: an arrival at the very edge no
      * longer counts, an attempt there still does. What is worth less than the average leaves a part of it.
@@ -1109,13 +1084,6 @@
         return count;
     }
 
-    /** No answer came: while losses are seen, that is trouble with the class. */
-    private void silent(Pending p, Node n, long now) {
-        if (lossShare > LOSS_SEEN) {
-            strike(p, n, now);
-        }
-    }
-
     private void logEjection(Node n, Outcome outcome, long now) {
         if (now >= nextLogAt) {
             nextLogAt = now + LOG_EVERY;
--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -62,7 +62,7 @@
                     keys.add(new Memory.OfKey(key, h.tally, h.spread, router.pools.indexOf(h.pool))));
         }
         return new Memory(router.unitWeight, router.averageWorth, router.sendTally, router.readRate,
-                router.lateShare, router.shed, router.lossShare, router.unnamed, router.plannedAt,
+                router.unnamed, router.plannedAt,
                 list(router.classTime), router.kindTime, list(router.tenantTally), List.copyOf(router.taken),
                 List.copyOf(router.further), replicas, keys,
                 router.pools.stream().map(p -> p.arrivals).toList());
@@ -74,9 +74,6 @@
         router.averageWorth = memory.averageWorth();
         router.sendTally = memory.sendTally();
         router.readRate = memory.readRate();
-        router.lateShare = memory.lateShare();
-        router.shed = memory.shed();
-        router.lossShare = memory.lossShare();
         router.unnamed = memory.unnamed();
         router.plannedAt = Math.min(now, memory.plannedAt() + shift);
         router.kindTime.putAll(memory.kindTime());
--- a/src/main/java/umberspread/Memory.java
+++ b/src/main/java/umberspread/Memory.java
@@ -8,7 +8,7 @@
  * clock of the one that learnt it. Open requests are no part of it: they stay where they were taken.
  */
 public record Memory(double unitWeight, double averageWorth, double sendTally, double readRate,
-        double lateShare, double shed, double lossShare, double unnamed, long plannedAt,
+        double unnamed, long plannedAt,
         List<Double> classTime, Map<Integer, Double> kindTime, List<Double> tenantTally, List<Long> taken,
         List<Long> further, List<OfReplica> replicas, List<OfKey> keys, List<Double> poolArrivals) {
     /** A replica's standing: points on the ring, rests by class, ejections, the cold budget. */
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -17,6 +17,7 @@
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
 import yewdock.platform.Config;
+import yewdock.platform.Deployment;
 import yewdock.proof.CopiesProof;
 import yewdock.proof.LiveProof;
 import yewdock.proof.Router;
@@ -185,19 +186,19 @@
     }
 
     @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Checks a settings file (.hcl) or a configuration of the platform's (.json).")
+            description = "Checks a settings file (.hcl) or a configuration of the platform's (.json), "
+            + "and tells what it switches on and what of it can't be used.")
     static final class Check implements Callable<Integer> {
         @Parameters(paramLabel = "FILE")
         private Path file;
 
         @Override
         public Integer call() throws Exception {
-            if (file.toString().endsWith(".json")) {
-                Config.read(Files.readString(file), System.out::println);
-            } else {
-                OperatorSettings read = OperatorSettings.read(file);
-                Config.read(Files.readString(read.daemon().config()), System.out::println);
-            }
+            Path config = file.toString().endsWith(".json") ? file
+                    : OperatorSettings.read(file).daemon().config();
+            String text = Files.readString(config);
+            Config.read(text, System.out::println);
+            Deployment.describe(text).forEach(System.out::println);
             System.out.println("good");
             return 0;
         }
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -177,7 +177,6 @@
     private static Memory memory(umberspread.Memory m) {
         Memory.Builder all = Memory.newBuilder().setUnitWeight(m.unitWeight())
                 .setAverageWorth(m.averageWorth()).setSendTally(m.sendTally()).setReadRate(m.readRate())
-                .setLateShare(m.lateShare()).setShed(m.shed()).setLossShare(m.lossShare())
                 .setUnnamed(m.unnamed()).setPlannedAt(m.plannedAt()).addAllClassTime(m.classTime())
                 .putAllKindTime(m.kindTime()).addAllMunicipalityTally(m.tenantTally())
                 .addAllTaken(m.taken()).addAllFurther(m.further()).addAllPoolArrivals(m.poolArrivals());
@@ -207,7 +206,7 @@
             keys.add(new umberspread.Memory.OfKey(k.getKey(), k.getTally(), k.getSpread(), k.getPool()));
         }
         return new umberspread.Memory(m.getUnitWeight(), m.getAverageWorth(), m.getSendTally(),
-                m.getReadRate(), m.getLateShare(), m.getShed(), m.getLossShare(), m.getUnnamed(),
+                m.getReadRate(), m.getUnnamed(),
                 m.getPlannedAt(), m.getClassTimeList(), m.getKindTimeMap(), m.getMunicipalityTallyList(),
                 m.getTakenList(), m.getFurtherList(), replicas, keys, m.getPoolArrivalsList());
     }
