Deployments drawn from seeds are played and judged; no tries beyond the own budget

Lines at fault: mayTryAgain and turnedAway. They are taken out again, with their test. Besides, deployments that nobody has yet were never played.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo model-proof upgrade-proof upgrade-probe store-proof store-probe store-damage
+.PHONY: build test lint run demo deployments-proof model-proof upgrade-proof upgrade-probe store-proof store-probe store-damage
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -22,6 +22,10 @@
 	done
 	java -jar target/yewdock.jar load --scenario docs/studies/places.hcl --set day.seconds=30
 
+# three hundred deployments drawn from seeds, in virtual time, a minute or so; not a part of CI
+deployments-proof: build
+	java -jar target/yewdock.jar deployments-proof
+
 # fifty upgrades under load, about a minute; not a part of CI
 upgrade-proof: build
 	java -jar target/yewdock.jar proof --upgrades 50
--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -999,7 +999,7 @@
             cancelOthers(p, attempt);
         }
         if (!p.over && !p.anyOut()) {
-            if (mayTryAgain(p, a, outcome, now)) {
+            if (mayTryAgain(p, outcome, now)) {
                 dispatch(p, now);
             } else {
                 giveFinalAnswer(p);
@@ -1008,20 +1008,11 @@
         forgetIfDone(p);
     }
 
-    private boolean mayTryAgain(Pending p, Attempt a, Outcome outcome, long now) {
-        return outcome != Outcome.TIMEOUT && now < p.deadline && (inBudget(p, now) || turnedAway(p, a, now))
+    private boolean mayTryAgain(Pending p, Outcome outcome, long now) {
+        return outcome != Outcome.TIMEOUT && now < p.deadline && inBudget(p, now)
                 && p.attempts.size() < settings.limits().maxAttempts();
     }
 
-    /**
-     * Against refusals while a replica drains that the list does not tell of yet: where it turns away though
-     * nothing waits there, that is no jam, and its request may go on beyond the router's own budget.
-     */
-    private boolean turnedAway(Pending p, Attempt a, long now) {
-        return !a.mayHaveRun && settings.contract().attempts().window() == 0
-                && a.node.overdue == 0 && a.node.slowUntil <= now && roomy(p, now);
-    }
-
     /**
      * The budget of attempts beyond requests' first, exact in every window: an arrival at the very edge no
      * longer counts, an attempt there still does. What is worth less than the average leaves a part of it.
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -19,6 +19,7 @@
 import yewdock.platform.Config;
 import yewdock.platform.Deployment;
 import yewdock.proof.CopiesProof;
+import yewdock.proof.DeploymentsProof;
 import yewdock.proof.LiveProof;
 import yewdock.proof.Router;
 import yewdock.proof.Rules;
@@ -62,7 +63,7 @@
             subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
                 Demo.class, LoadTool.class, Proof.class, StoreCommands.Drain.class,
                 StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class,
-                StoreProofs.class, ModelCommands.Models.class,
+                StoreProofs.class, Deployments.class, ModelCommands.Models.class,
                 ModelCommands.Experiments.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
@@ -348,4 +349,18 @@
             return broken.isEmpty() ? 0 : FAILED;
         }
     }
+
+    @Command(name = "deployments-proof", mixinStandardHelpOptions = true,
+            description = "Plays drawn deployments in virtual time, judged; and faults to be found.")
+    static final class Deployments implements Callable<Integer> {
+        @Option(names = "--seeds", defaultValue = "300")
+        private int seeds;
+
+        @Override
+        public Integer call() {
+            List<String> wrong = new DeploymentsProof(System.out::println).run(seeds);
+            wrong.stream().limit(40).forEach(System.out::println);
+            return wrong.isEmpty() ? 0 : FAILED;
+        }
+    }
 }
--- a/src/main/java/yewdock/platform/Deployment.java
+++ b/src/main/java/yewdock/platform/Deployment.java
@@ -86,7 +86,8 @@
 
     private static void paths(String at, Object value, Set<String> found) {
         if (value instanceof JSONObject object) {
-            object.keySet().forEach(key -> paths(at.isEmpty() ? key : at + "." + key, object.get(key), found));
+            object.keySet().forEach(key ->
+                    paths(at.isEmpty() ? key : at + "." + key, object.get(key), found));
         } else if (value instanceof JSONArray array && !array.isEmpty()
                 && array.get(0) instanceof JSONObject) {
             array.forEach(item -> paths(at, item, found));
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -361,12 +361,12 @@
         assertTrue(used.size() >= 6, "only " + used + " still serve");
     }
 
-    private static Fixture failingEverywhere(Fixture.Setup setup, Outcome outcome) {
+    private static Fixture failingEverywhere(Fixture.Setup setup) {
         Fixture f = fixture(setup, 10);
         for (int i = 0; i < 400; i++) {
             long id = f.arrive(i, 0);
             for (int a = 0; a < 4 && !f.refused.contains(id); a++) {
-                f.end(id, a, outcome, false);
+                f.end(id, a, Outcome.FULL, false);
                 f.pass(SECOND / 10 - SECOND / 500 * (i % 7));
             }
         }
@@ -375,7 +375,7 @@
 
     @Test
     void retriesStopWhenTheBudgetIsSpent() {
-        assertTrue(failingEverywhere(new Fixture.Setup(), Outcome.ERROR)
+        assertTrue(failingEverywhere(new Fixture.Setup())
                 .assertInBudget(new Routing.AttemptBudget(1, 0.2, 6 * SECOND)) > 0);
     }
 
@@ -383,7 +383,7 @@
     void aStatedBudgetOfAttemptsHoldsInEveryWindow() {
         Fixture.Setup setup = new Fixture.Setup();
         setup.budget = new Routing.AttemptBudget(3, 0.05, 2 * SECOND);
-        assertTrue(failingEverywhere(setup, Outcome.FULL).assertInBudget(setup.budget) > 0);
+        assertTrue(failingEverywhere(setup).assertInBudget(setup.budget) > 0);
     }
 
     @Test
@@ -568,7 +568,7 @@
                 }
                 f.pass(SECOND / 50);
             }
-            assertTrue(f.sent.size() > 50, "only " + f.sent.size());
+            assertTrue(f.sent.size() > 200, "only " + f.sent.size());
         }
     }
 
@@ -866,24 +866,6 @@
         }
     }
 
-    /** A box that drains turns all away for seconds before the list tells of it: nothing has run there. */
-    @Test
-    void whatNeverRanIsTriedElsewhereThoughTheOwnBudgetIsSpent() {
-        Fixture.Setup setup = new Fixture.Setup();
-        setup.duplicates = false;
-        Fixture f = fixture(setup, 8);
-        for (int i = 0; i < 12; i++) {
-            f.end(f.arrive(i, 0), 0, Outcome.FULL, false);
-        }
-        assertEquals(24, f.sent.size());
-        assertTrue(f.refused.isEmpty(), "refused " + f.refused.size());
-        Fixture g = fixture(setup, 8);
-        for (int i = 0; i < 12; i++) {
-            g.end(g.arrive(i, 0), 0, Outcome.ERROR, false);
-        }
-        assertTrue(g.sent.size() < 20, "tries that may have run: " + g.sent.size());
-    }
-
     /** Where most are slow, a copy would only lengthen the queues. */
     @Test
     void noSecondCopyWhileMostAreSlow() {
--- a/src/test/java/umberspread/RandomEventsTest.java
+++ b/src/test/java/umberspread/RandomEventsTest.java
@@ -80,10 +80,8 @@
             endOverdue(f, open);
             sent = check(f, open, states, sent, effect, group, duplicates);
         }
-        // without a stated one, attempts that never ran are repeated beyond the router's own
-        if (setup.budget.window() > 0) {
-            f.assertInBudget(setup.budget);
-        }
+        f.assertInBudget(setup.budget.window() > 0 ? setup.budget
+                : new Routing.AttemptBudget(1, 0.2, 6 * Fixture.SECOND));
         return f.all;
     }
 
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -12,10 +12,10 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
-import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.ModelRequest;
+import yewdock.desk.Terms;
 
 /** The router refuses before it runs out of memory or descriptors. */
 class BoundsTest {
--- a/src/test/java/yewdock/ChurnTest.java
+++ b/src/test/java/yewdock/ChurnTest.java
@@ -14,11 +14,11 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
-import yewdock.desk.Terms;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
 import yewdock.desk.ModelBox;
 import yewdock.desk.ModelRequest;
+import yewdock.desk.Terms;
 
 /** Clients and boxes that come and go for as long as the router runs must leave nothing behind. */
 class ChurnTest {
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -16,8 +16,8 @@
 import java.util.function.Function;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
-import yewdock.desk.Terms;
 import yewdock.desk.Event;
+import yewdock.desk.Terms;
 import yewdock.http.BadMessageException;
 import yewdock.http.Head;
 import yewdock.http.MessageReader;
@@ -50,7 +50,8 @@
 
     private Exchange() throws IOException {
         Config config = Config.read(Files.readString(FOLDER.resolve("config.json")), this::log);
-        desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters, InOrderModule::new);
+        desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
+                InOrderModule::new);
         front = new Front(config, desk, counters, this, () -> START + micros, this::log);
         front.start();
     }
