Sessions and copies keep off cold boxes; a cold box gets 0.3 of what would fell it

Since nothing is shed ahead of time more is sent, and COLD_MARGIN left too little room. Change: COLD_MARGIN 0.4 to 0.3 (0.2 passes too); a session leaves a box that has started since, which holds no history of it, and no second copy goes to a cold box.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -93,7 +93,7 @@
     /** A tenant's share is metered over this many of the shortest aim. */
     private static final double METER_AIMS = 5;
     /** A cold replica is empty too: it gets this part of what would fell it, were the rest at capacity. */
-    private static final double COLD_MARGIN = 0.4;
+    private static final double COLD_MARGIN = 0.3;
     /** An attempt is lost when a later one's first token is ahead of it by this part of the shortest aim. */
     private static final int OVERTAKE_PART = 10;
     /** A request gets a second copy, where copies are allowed, when this part of its aim has passed. */
@@ -557,13 +557,13 @@
     }
 
     /**
-     * Against a history read anew: a session that was spilled goes on where it was spilled to, on the terms on
-     * which the ring would pick that replica.
+     * Against a history read anew: a session that was spilled goes on where it was spilled to, on the terms
+     * on which the ring would pick that replica. One that has started since holds no history, and bears little.
      */
     private boolean staysAt(Pending p, Node n, long now) {
         return n != null && nodes.get(n.replica.id()) == n && n.replica.lifecycle() == Lifecycle.READY
-                && n.pools.contains(p.pool) && mayTake(p, n, now)
-                && !((cheapToRead(p) || warmth(n, now) < 1) && overBound(p, n, now));
+                && n.pools.contains(p.pool) && warmth(n, now) >= 1 && mayTake(p, n, now)
+                && !(cheapToRead(p) && overBound(p, n, now));
     }
 
     /** One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. */
@@ -958,7 +958,7 @@
         p.hedged = true;
         if (settings.limits().mayDuplicate()) {
             Node n = pick(p, false, now);
-            if (n != null && !slow(p, n, now)) {
+            if (n != null && !slow(p, n, now) && warmth(n, now) >= 1) {
                 send(p, n, now);
             }
         } else if (settings.limits().cancelling()) {
