--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -558,7 +558,7 @@
 
     /**
      * Against a history read anew: a session that was spilled goes on where it was spilled to, on the terms
-     * on which the ring would pick that replica. One that has started since holds no history, and bears little.
+     * on which the ring would pick that replica. One that started since holds no history, and bears little.
      */
     private boolean staysAt(Pending p, Node n, long now) {
         return n != null && nodes.get(n.replica.id()) == n && n.replica.lifecycle() == Lifecycle.READY
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -18,7 +18,7 @@
     /** Of the drain's grace, a call at an agent may wait for this part, and its answer take another. */
     private static final int GRACE_PARTS = 4;
     private static final long LEAST_PART = 50_000;
-    /** An agent's answers may take this many times longer once calls have failed: it may be slow, not gone. */
+    /** An agent's answers may take so many times longer once calls have failed: it may be slow. */
     private static final int MOST_PATIENCE = 4;
     /** The first call after a failure at an agent waits so long, each further one twice as long. */
     private static final long AGAIN = 20_000;
@@ -154,7 +154,7 @@
         return news;
     }
 
-    /** A call has failed; tells whether the module should hear of it, for it is then the one to call again. */
+    /** A call has failed; tells whether the module should hear of it, which then calls again. */
     boolean failed() {
         boolean tell = asked || !terms.listPushed();
         out = false;
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -766,7 +766,7 @@
         assertEquals(before, f.refused.size(), "inside its share, cheap to read elsewhere");
     }
 
-    /** Refusing it would not make the others' answers earlier than it costs: the module sheds nothing ahead. */
+    /** Refusing it costs more than it makes earlier: nothing is shed ahead of time. */
     @Test
     void lateAnswersOfHighWorthGetNoLowWorthRefused() {
         Fixture.Setup setup = new Fixture.Setup();
--- a/src/test/java/yewdock/CopiesTest.java
+++ b/src/test/java/yewdock/CopiesTest.java
@@ -22,7 +22,7 @@
 import yewdock.desk.ModelRequest;
 import yewdock.desk.Terms;
 
-/** Several tries of one request at the desk: who wins, what becomes of the others, and when none may go out. */
+/** Several tries of one request: who wins, what becomes of the others, and when none may go out. */
 class CopiesTest {
     private static final int MOST = 4;
     private final Counters counters = new Counters();
@@ -132,7 +132,7 @@
         done.clear();
     }
 
-    /** In the order that the class's page states: the answer, the other's close, its end once it is closed. */
+    /** In this order: the answer, the other's close, its end once it is closed. */
     @Test
     void theFirstEventWinsAndTheOtherIsClosed() {
         twoOut();
