The simulations share the model's calendar; dead getters and doubled look-ups go

Need: read again, the change had written some things twice. DeploymentSim and CopiesSim each kept a queue of times of their own beside model.Calendar, which does just that; yewdock check read the configuration twice; the module looked a session's box up twice and an attempt seven times, and counted slow boxes for every ended attempt before the cheaper conditions; two tests held the same module that does nothing; Turn had two getters that nobody called; ListWatch chose a call's wait in two places. Change: Calendar in both simulations, Deployment.describe does the one reading, locals in the module and in ListWatch, QuietModule for the tests. No bound, check or expectation is changed.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	done
 	java -jar target/yewdock.jar load --scenario docs/studies/places.hcl --set day.seconds=30
 
-# three hundred deployments drawn from seeds, in virtual time, a minute or so; not a part of CI
+# three hundred deployments drawn from seeds, in virtual time, some ten seconds; not a part of CI
 deployments-proof: build
 	java -jar target/yewdock.jar deployments-proof
 
--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -509,8 +509,9 @@
 
     /** The key's ring position, a walk of distinct ready replicas, the bound, spill in ring order. */
     private Node pick(Pending p, boolean free, long now) {
-        if (!free && staysAt(p, sessions.last(p.request.session()), now)) {
-            return sessions.last(p.request.session());
+        Node last = free ? null : sessions.last(p.request.session());
+        if (staysAt(p, last, now)) {
+            return last;
         }
         Hot h = hot.get(p.key);
         int wanted = h == null ? 1 : h.spread;
@@ -891,15 +892,16 @@
         if (p == null || attempt < 0 || attempt >= p.attempts.size()) {
             return;
         }
-        p.attempts.get(attempt).firstTokenAfter = now - p.attempts.get(attempt).sentAt;
+        Attempt a = p.attempts.get(attempt);
+        a.firstTokenAfter = now - a.sentAt;
         p.begun = true;
-        p.attempts.get(attempt).node.spokeAt = now;
-        p.attempts.get(attempt).node.breaks = 0;
-        sessions.served(p.request.session(), p.attempts.get(attempt).node, now);
-        p.attempts.get(attempt).node.onTrial = false;
-        notOverdue(p.attempts.get(attempt), now);
+        a.node.spokeAt = now;
+        a.node.breaks = 0;
+        a.node.onTrial = false;
+        sessions.served(p.request.session(), a.node, now);
+        notOverdue(a, now);
         cancelOthers(p, attempt);
-        overtake(p.attempts.get(attempt), now);
+        overtake(a, now);
     }
 
     /**
@@ -981,8 +983,8 @@
         a.node.waiting.remove(a);
         a.pools.forEach(pool -> pool.inFlight--);
         // copies answered elsewhere while it said nothing to anyone: a vanished machine refuses nothing
-        boolean silence = a.firstTokenAfter == 0 && a.overdue && roomy(p, now) && a.node.spokeAt < a.sentAt
-                && outcome == Outcome.CANCELLED;
+        boolean silence = outcome == Outcome.CANCELLED && a.firstTokenAfter == 0 && a.overdue
+                && a.node.spokeAt < a.sentAt && roomy(p, now);
         notOverdue(a, now);
         judge(a.node, silence ? Outcome.RESET : outcome, now);
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -16,7 +16,6 @@
 import yewdock.daemon.Operator;
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
-import yewdock.platform.Config;
 import yewdock.platform.Deployment;
 import yewdock.proof.CopiesProof;
 import yewdock.proof.DeploymentsProof;
@@ -197,9 +196,7 @@
         public Integer call() throws Exception {
             Path config = file.toString().endsWith(".json") ? file
                     : OperatorSettings.read(file).daemon().config();
-            String text = Files.readString(config);
-            Config.read(text, System.out::println);
-            Deployment.describe(text).forEach(System.out::println);
+            Deployment.describe(Files.readString(config), System.out::println).forEach(System.out::println);
             System.out.println("good");
             return 0;
         }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -146,10 +146,11 @@
         failures = 0;
         version = list.version();
         counters.add("list.answers");
+        long wait = terms.listPushed() ? part() : WAIT;
         if (news || now.getAsLong() - calledAt >= PACE) {
-            ask(terms.listPushed() ? part() : WAIT);
+            ask(wait);
         } else {
-            askLater(PACE, terms.listPushed() ? part() : WAIT);
+            askLater(PACE, wait);
         }
         return news;
     }
--- a/src/main/java/yewdock/desk/Turn.java
+++ b/src/main/java/yewdock/desk/Turn.java
@@ -33,10 +33,6 @@
         module = made;
     }
 
-    Routing.Events module() {
-        return module;
-    }
-
     /** The next event's turn begins; time never goes back. */
     void begin(long time) {
         now = Math.max(now, time);
@@ -63,10 +59,6 @@
         counters.add(name);
     }
 
-    Counters counters() {
-        return counters;
-    }
-
     Timers timers() {
         return timers;
     }
--- a/src/main/java/yewdock/platform/Deployment.java
+++ b/src/main/java/yewdock/platform/Deployment.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import umberspread.Routing;
@@ -31,8 +32,8 @@
     }
 
     /** The lines for a configuration's text; throws IllegalArgumentException where it can't be read. */
-    public static List<String> describe(String text) {
-        Config config = Config.read(text, line -> { });
+    public static List<String> describe(String text, Consumer<String> log) {
+        Config config = Config.read(text, log);
         JSONObject settings = new JSONObject(text).getJSONObject("settings");
         Routing.Settings s = config.settings();
         Routing.Limits limits = s.limits();
--- a/src/main/java/yewdock/proof/CopiesSim.java
+++ b/src/main/java/yewdock/proof/CopiesSim.java
@@ -5,10 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import yewdock.model.Calendar;
 import yewdock.replica.Replica;
 import yewdock.replica.ReplicaEffect;
 import yewdock.replica.ReplicaEvent;
@@ -51,21 +51,18 @@
 
         /** Writes a record. */
         public void write(String key, Kept.Builder content) {
-            records.write(key, content, now + wallOff);
+            records.write(key, content, now() + wallOff);
             reduce(this, new ReplicaEvent.Changed(List.of(key)));
         }
 
         /** Removes one, if it is there. */
         public void drop(String key) {
-            if (records.drop(key, now + wallOff) != null) {
+            if (records.drop(key, now() + wallOff) != null) {
                 reduce(this, new ReplicaEvent.Changed(List.of(key)));
             }
         }
     }
 
-    private record Due(long at, long order, Runnable task) {
-    }
-
     /** A connection between two, one of whose ends is a and the other b; dead once it is cut. */
     private static final class Pipe {
         private boolean cut;
@@ -74,14 +71,11 @@
 
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Pipe> pipes = new HashMap<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Calendar calendar = new Calendar();
     private final SplittableRandom random;
     private final int mostTombstones;
     private List<String> names;
     private int side;
-    private long now;
-    private long order;
     private long bytes;
     private long frames;
 
@@ -119,7 +113,7 @@
     private void tick(Node node, Replica life) {
         if (node.replica == life) {
             reduce(node, new ReplicaEvent.Tick());
-            at(Math.max(now + 1, life.nextDue()), () -> tick(node, life));
+            at(Math.max(now() + 1, life.nextDue()), () -> tick(node, life));
         }
     }
 
@@ -136,26 +130,20 @@
     }
 
     public long now() {
-        return now;
+        return calendar.now();
     }
 
     /** Lets so much time pass. */
     public void run(long micros) {
-        long end = now + micros;
-        while (!due.isEmpty() && due.peek().at <= end) {
-            Due next = due.poll();
-            now = next.at;
-            next.task.run();
-        }
-        now = end;
+        calendar.runTo(calendar.now() + micros);
     }
 
     /** Runs until all agree, so long at most; returns how long it took, or -1. */
     public long untilAgreed(long most) {
-        long began = now;
-        while (now - began <= most) {
+        long began = now();
+        while (now() - began <= most) {
             if (agree()) {
-                return now - began;
+                return now() - began;
             }
             run(10_000);
         }
@@ -265,7 +253,7 @@
     // ---- the network
 
     private void at(long time, Runnable task) {
-        due.add(new Due(time, order++, task));
+        calendar.at(time, task);
     }
 
     private void redial() {
@@ -280,14 +268,14 @@
                 }
             }
         }
-        at(now + REDIAL / 2 + random.nextLong(REDIAL), this::redial);
+        at(now() + REDIAL / 2 + random.nextLong(REDIAL), this::redial);
     }
 
     private void reduce(Node node, ReplicaEvent event) {
         if (node.replica == null) {
             return;
         }
-        for (ReplicaEffect effect : node.replica.reduce(event, now)) {
+        for (ReplicaEffect effect : node.replica.reduce(event, now())) {
             if (effect instanceof ReplicaEffect.Send e) {
                 send(node, e.peer(), e.frame());
             } else if (effect instanceof ReplicaEffect.Close e) {
@@ -296,7 +284,7 @@
                 Pipe pipe = pipes.remove(pair);
                 if (pipe != null) {
                     pipe.cut = true;
-                    at(now + DELAY, () -> reduce(nodes.get(other), new ReplicaEvent.Down(node.name,
+                    at(now() + DELAY, () -> reduce(nodes.get(other), new ReplicaEvent.Down(node.name,
                             "closed: " + e.why())));
                 }
             }
@@ -316,7 +304,7 @@
         byte[] sent = frame.toByteArray();
         bytes += sent.length + Integer.BYTES;
         frames++;
-        long free = Math.max(now, pipe.freeAt.getOrDefault(from.number, 0L))
+        long free = Math.max(now(), pipe.freeAt.getOrDefault(from.number, 0L))
                 + (long) (sent.length / BYTES_A_MICRO);
         pipe.freeAt.put(from.number, free);
         at(free + DELAY / 2 + random.nextLong(DELAY) / 8, () -> {
--- a/src/main/java/yewdock/proof/DeploymentSim.java
+++ b/src/main/java/yewdock/proof/DeploymentSim.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import umberspread.BoundedLoadRouter;
 import umberspread.Routing;
@@ -21,6 +20,7 @@
 import yewdock.desk.Event;
 import yewdock.desk.ModelBox;
 import yewdock.desk.ModelRequest;
+import yewdock.model.Calendar;
 
 /**
  * Half a minute of a drawn deployment in virtual time: the real desk and the real module, with boxes, a list
@@ -39,9 +39,6 @@
 
     private enum State { FINE, SILENT, VANISHED, FULL, FAILING, SLOW }
 
-    private record Due(long at, long order, Runnable task) {
-    }
-
     private final class Box {
         private final long id;
         private final int site;
@@ -102,16 +99,13 @@
     private final DrawnDeployment deployment;
     private final Plant plant;
     private final SplittableRandom random;
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Calendar calendar = new Calendar();
     private final Map<Long, Box> boxes = new LinkedHashMap<>();
     private final Map<Long, Line> lines = new HashMap<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private final Counters counters = new Counters();
     private final Desk desk;
-    private long now = START;
-    private long order;
     private long tickAt = Long.MAX_VALUE;
     private long lastClient;
     private long lastBox;
@@ -125,6 +119,7 @@
         this.deployment = DrawnDeployment.of(seed);
         this.plant = plant;
         this.random = new SplittableRandom(seed);
+        calendar.runTo(START);
         for (int i = 0; i < deployment.boxes(); i++) {
             add(0);
         }
@@ -139,11 +134,7 @@
         for (int i = 0; i < deployment.troubles(); i++) {
             at(random.nextLong(DAY - 5 * SECOND), this::trouble);
         }
-        while (!due.isEmpty() && due.peek().at < START + DAY + 20 * SECOND) {
-            Due next = due.poll();
-            now = Math.max(now, next.at);
-            next.task.run();
-        }
+        calendar.runTo(START + DAY + 20 * SECOND - 1);
         calls.values().stream().filter(c -> !c.answered && !c.left)
                 .forEach(c -> broken("answer: request " + c.client + " never had one"));
         if (counters.get("faults") > 0) {
@@ -157,24 +148,28 @@
         return counters;
     }
 
+    private long now() {
+        return calendar.now();
+    }
+
     private void broken(String what) {
-        broken.add("at " + (now - START) / 1000 + " ms " + what);
+        broken.add("at " + (now() - START) / 1000 + " ms " + what);
     }
 
     private void at(long delay, Runnable task) {
-        due.add(new Due(now + delay, order++, task));
+        calendar.after(delay, task);
     }
 
     // ---- the router
 
     private void happened(Event event) {
-        for (Effect effect : desk.reduce(event, now)) {
+        for (Effect effect : desk.reduce(event, now())) {
             perform(effect);
         }
         if (desk.nextDue() < tickAt) {
             tickAt = desk.nextDue();
             long mine = tickAt;
-            at(Math.max(0, mine - now) + (plant == Plant.TICKS_LATE ? SECOND : 0), () -> {
+            at(Math.max(0, mine - now()) + (plant == Plant.TICKS_LATE ? SECOND : 0), () -> {
                 if (tickAt == mine) {
                     tickAt = Long.MAX_VALUE;
                     happened(new Event.Tick());
@@ -221,12 +216,12 @@
     // ---- clients
 
     private void ask() {
-        if (now < START + DAY) {
+        if (now() < START + DAY) {
             at((long) (-Math.log(1 - random.nextDouble()) * SECOND / deployment.perSecond()), this::ask);
         }
         int type = random.nextInt(deployment.settings().classes().size());
         long patience = deployment.settings().classes().get(type).giveUp() * (7 + random.nextInt(4)) / 10;
-        Call c = new Call(++lastClient, type, now + patience);
+        Call c = new Call(++lastClient, type, now() + patience);
         calls.put(c.client, c);
         happened(new Event.ClientCame(c.client));
         int tenants = deployment.settings().tenants().size();
@@ -324,8 +319,8 @@
 
     private void sent(Line line, Call c) {
         Box box = line.box;
-        if (now > box.toldAt + deployment.settings().contract().drainGrace() + SLACK) {
-            broken("drain: request " + c.client + " goes to box " + box.id + " " + (now - box.toldAt) / 1000
+        if (now() > box.toldAt + deployment.settings().contract().drainGrace() + SLACK) {
+            broken("drain: request " + c.client + " goes to box " + box.id + " " + (now() - box.toldAt) / 1000
                     + " ms after its drain was told");
         }
         if (!c.out.isEmpty() && !deployment.mayCopy(c.type)) {
@@ -439,7 +434,7 @@
     /** A release: a new box comes, the old one drains and is gone once its streams have had their time. */
     private void replace(Box box) {
         version++;
-        add(now);
+        add(now());
         box.lifecycle = Lifecycle.DRAINING;
         box.version = version;
         heard();
@@ -469,7 +464,7 @@
     private void told(long upTo) {
         for (Box box : boxes.values()) {
             if (box.lifecycle != Lifecycle.READY && box.version <= upTo) {
-                box.toldAt = Math.min(box.toldAt, now);
+                box.toldAt = Math.min(box.toldAt, now());
             }
         }
     }
--- a/src/test/java/yewdock/CopiesTest.java
+++ b/src/test/java/yewdock/CopiesTest.java
@@ -9,7 +9,6 @@
 import org.junit.jupiter.api.Test;
 import umberspread.Routing;
 import umberspread.Routing.Lifecycle;
-import umberspread.Routing.ListKind;
 import umberspread.Routing.Outcome;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
@@ -33,21 +32,11 @@
     private long now;
 
     /** Does nothing of itself: the test asks in its place. */
-    private final class Module implements Routing.Events {
+    private final class Module extends QuietModule {
         Module(Routing.Actions actions) {
             module = actions;
         }
 
-        @Override
-        public void started(long time) {
-            // nothing to ask for
-        }
-
-        @Override
-        public void listReceived(long time, ListKind kind, List<Replica> entries) {
-            // the test knows the boxes
-        }
-
         @Override
         public void requestArrived(long time, Routing.Request request) {
             module.send(request.id(), 1, 0);
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -34,16 +34,11 @@
     private Routing.Actions module;
 
     /** Sends each request to box 1 and notes what it is told of the list. */
-    private final class Module implements Routing.Events {
+    private final class Module extends QuietModule {
         Module(Routing.Actions actions) {
             module = actions;
         }
 
-        @Override
-        public void started(long time) {
-            // a pushed list gives the module no cause to ask
-        }
-
         @Override
         public void listReceived(long time, ListKind kind, List<Replica> entries) {
             told.add(kind + " " + entries.stream().map(r -> r.id() + ":" + r.lifecycle()).toList());
@@ -54,26 +49,11 @@
             module.send(request.id(), 1, 0);
         }
 
-        @Override
-        public void firstToken(long time, long requestId, int attempt) {
-            // not played here
-        }
-
         @Override
         public void attemptEnded(long time, long requestId, int attempt, Routing.Outcome outcome, long took,
                 boolean over, long kept, Routing.LoadReport report) {
             told.add(outcome.name());
         }
-
-        @Override
-        public void requestGone(long time, long requestId) {
-            // not played here
-        }
-
-        @Override
-        public void woken(long time, int token) {
-            // asks for no times
-        }
     }
 
     /** Answers calls on the desk's clock, except while it is silent. */
