The operators' door: health, true figures, cordon, uncordon, quiesce, resume

A package beside `platform` reads one line to a connection and prints one answer; what a call does is an event of the desk's, answered in the same turn, so a yes is true from then on. Cordons are the marks that `drain` and `undrain` set already, laid over the list by id; a box that is back counts as started at that moment, whatever the list says, until it has had time to get warm. Each request's end is counted in one place, by class, and all prints read the same counters. The transport bounds callers: 24 accepted, 16 kept, the longest silent one makes room, 3 s of silence end a call. Without `operator` or PROXY_OPERATOR nothing listens and the module is as before.

Rejected: a thread of its own for the door, which would answer sooner under load but read state that another thread changes; a list of cordoned boxes in the module, which would be a second mark beside the operators'.

--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import umberspread.BoundedLoadRouter.Hot;
 import umberspread.BoundedLoadRouter.Node;
 import umberspread.BoundedLoadRouter.Pool;
@@ -137,6 +139,18 @@
         return Arrays.stream(values).boxed().toList();
     }
 
+    /** Ejected, and not yet served again: those that no request, or only one for a trial, may go to. */
+    @Override
+    public Set<Long> avoided(long now) {
+        Set<Long> avoided = new HashSet<>();
+        for (Node n : router.nodes.values()) {
+            if (n.ejectedUntil > now || n.onTrial && n.ejections > 0) {
+                avoided.add(n.replica.id());
+            }
+        }
+        return avoided;
+    }
+
     @Override
     public void otherSent(long time, String token, long replicaId) {
         long now = router.latest(time);
--- a/src/main/java/umberspread/Routing.java
+++ b/src/main/java/umberspread/Routing.java
@@ -222,6 +222,11 @@
         /** A time asked for by {@link Actions#wakeAt} has come. */
         void woken(long now, int token);
 
+        /** The listed replicas that the router keeps off for now, though they are ready; changes nothing. */
+        default Set<Long> avoided(long now) {
+            return Set.of();
+        }
+
         /**
          * Another process of this gateway has a request out at a replica: it counts as the gateway's own
          * load. token is the other's name for it, and never that of a request of this one.
--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -3,14 +3,17 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Objects;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
 import umberspread.BoundedLoadRouter;
+import umberspread.GenerationRouter;
 import yewdock.daemon.Generation;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Terms;
+import yewdock.door.Door;
 import yewdock.log.Say;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
@@ -53,9 +56,14 @@
             Logger.error("the configuration can't be read: {}", e.toString());
             return 1;
         }
+        String operator = config.operator().isEmpty()
+                ? Objects.requireNonNullElse(System.getenv("PROXY_OPERATOR"), "") : config.operator();
         Counters counters = new Counters();
+        // only the figures at the operators' door need the router that tells of itself
         Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
-                actions -> new BoundedLoadRouter(config.settings(), config.seed(), actions));
+                actions -> operator.isEmpty()
+                        ? new BoundedLoadRouter(config.settings(), config.seed(), actions)
+                        : new GenerationRouter(config.settings(), config.seed(), actions));
         Sockets sockets = new Sockets(config.bounds().clients());
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
         // The JVM ends when its hooks have: this one holds it until nothing is owed.
@@ -78,6 +86,15 @@
         if (!taken) {
             Logger.warn("SIGHUP can't be taken here: a new configuration needs a restart");
         }
+        try {
+            if (!operator.isEmpty()) {
+                Door door = new Door(front);
+                sockets.listenAlso(operator, Door.MOST_ACCEPTED, Door.PATIENCE_SECONDS, door::accept);
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            Logger.error("can't listen for operators on {}: {}", operator, e.getMessage());
+            Runtime.getRuntime().halt(1);
+        }
         try {
             sockets.serve(config.listen(), front, desk);
         } catch (IOException e) {
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -15,7 +15,6 @@
 import yewdock.wire.Boxes;
 import yewdock.wire.Keep;
 import yewdock.wire.KeyMemory;
-import yewdock.wire.Mark;
 import yewdock.wire.Marks;
 import yewdock.wire.Memory;
 import yewdock.wire.News;
@@ -87,8 +86,11 @@
     static Map<String, BoxMark> marks(Marks told) {
         Map<String, BoxMark> marks = new HashMap<>();
         told.getByBoxMap().forEach((box, mark) -> {
-            if (mark.getKind() == Mark.Kind.DRAIN || mark.getKind() == Mark.Kind.GONE) {
-                marks.put(box, new BoxMark(mark.getKind() == Mark.Kind.GONE, mark.getStartedAt()));
+            switch (mark.getKind()) {
+                case DRAIN -> marks.put(box, BoxMark.DRAINS);
+                case GONE -> marks.put(box, new BoxMark(BoxMark.Kind.GONE, mark.getStartedAt()));
+                case BACK -> marks.put(box, new BoxMark(BoxMark.Kind.BACK, mark.getStartedAt()));
+                default -> { }
             }
         });
         return marks;
--- a/src/main/java/yewdock/desk/Answers.java
+++ b/src/main/java/yewdock/desk/Answers.java
@@ -15,6 +15,7 @@
 
     private final Turn turn;
     private final Bounds bounds;
+    private final List<String> classes;
     private final Others others;
     private final Tries tries;
     private final Map<Long, Owed> owed = new HashMap<>();
@@ -27,6 +28,7 @@
     Answers(Turn turn, Terms terms, Bounds bounds, KnownBoxes boxes, Lines lines, Others others) {
         this.turn = turn;
         this.bounds = bounds;
+        this.classes = terms.classes();
         this.others = others;
         this.tries = new Tries(turn, terms, boxes, lines, others, this::forgetIfDone);
     }
@@ -60,6 +62,22 @@
         return new ArrayList<>(byName.keySet());
     }
 
+    /** How many requests wait for their answer, or for the rest of it. */
+    int open() {
+        return ofClient.size();
+    }
+
+    /** Counts a request's end: each one taken has exactly one. */
+    void ended(ModelRequest request, Ending ending) {
+        ended(request.requestClass(), ending);
+    }
+
+    private void ended(int requestClass, Ending ending) {
+        if (requestClass >= 0 && requestClass < classes.size()) {
+            turn.count(ending.counter(classes.get(requestClass)));
+        }
+    }
+
     int kept() {
         return owed.size() + ofClient.size() + byName.size();
     }
@@ -69,6 +87,7 @@
         ModelRequest r = e.request();
         if (owed.size() >= bounds.requests() || heldBytes + r.size() > bounds.bytes()) {
             turn.count("answers.refused_for_room");
+            ended(r, Ending.REJECTED);
             turn.effect(new Effect.Refuse(e.client(), 0));
             release(r.id());
             return;
@@ -87,6 +106,7 @@
 
     void twin(Event.Asked e) {
         turn.count("answers.twin");
+        ended(e.request(), Ending.FAILED);
         turn.effect(new Effect.TurnDownTwin(e.client()));
     }
 
@@ -94,7 +114,7 @@
         Owed o = ofClient.get(client);
         if (o != null) {
             turn.count(o.begun() ? "answers.left_midway" : "answers.left_before");
-            finish(o);
+            finish(o, Ending.FAILED);
             turn.tell(o.id, m -> m.requestGone(turn.now(), o.id));
             tries.hangUpAll(o, Outcome.CANCELLED);
         }
@@ -112,7 +132,7 @@
         Owed o = owed.get(id);
         if (o != null && !o.over && !o.begun()) {
             turn.count("answers.refused");
-            finish(o);
+            finish(o, Ending.REJECTED);
             turn.effect(new Effect.Refuse(o.client, retryAfter));
             tries.hangUpAll(o, Outcome.CANCELLED);
         }
@@ -124,7 +144,7 @@
             return;
         }
         turn.count(o.begun() ? "answers.cut_off" : "answers.failed");
-        finish(o);
+        finish(o, Ending.FAILED);
         turn.effect(o.begun() ? new Effect.CutOff(o.client) : new Effect.Fail(o.client));
         tries.hangUpAll(o, triesEndAs);
     }
@@ -140,7 +160,7 @@
         Owed o = t.owed;
         turn.count("answers.served");
         turn.effect(new Effect.EndAnswer(o.client));
-        finish(o);
+        finish(o, Ending.COMPLETED);
         tries.hangUpAllBut(t);
     }
 
@@ -150,12 +170,13 @@
         if (t.begun() && !o.over) {
             turn.count("answers.cut_off");
             turn.effect(new Effect.CutOff(o.client));
-            finish(o);
+            finish(o, Ending.FAILED);
         }
     }
 
-    private void finish(Owed o) {
+    private void finish(Owed o, Ending ending) {
         o.over = true;
+        ended(o.requestClass, ending);
         heldBytes -= o.size;
         ofClient.remove(o.client, o);
         forgetIfDone(o);
--- a/src/main/java/yewdock/desk/BoxMark.java
+++ b/src/main/java/yewdock/desk/BoxMark.java
@@ -1,11 +1,16 @@
 package yewdock.desk;
 
 /**
- * What an operator has said of a box: that it drains, until that is taken back, or that it is gone, which
- * holds for the start that it had then (microseconds since 1970, as the list tells it).
+ * What an operator has said of a box: that it drains, until that is taken back; that it is gone, which holds
+ * for the start that it had then; or that it is back since then. Times are microseconds since 1970.
  */
-public record BoxMark(boolean gone, long startedAt) {
-    boolean holds(ModelBox box) {
-        return !gone || box.replica().startedAt() <= startedAt;
+public record BoxMark(Kind kind, long at) {
+    /** What is said of the box. */
+    public enum Kind { DRAINS, GONE, BACK }
+
+    public static final BoxMark DRAINS = new BoxMark(Kind.DRAINS, 0);
+
+    boolean drains() {
+        return kind == Kind.DRAINS;
     }
 }
--- /dev/null
+++ b/src/main/java/yewdock/desk/Call.java
@@ -0,0 +1,17 @@
+package yewdock.desk;
+
+/** What an operator can call for at the door. */
+public enum Call {
+    HEALTH(false), COUNTERS(false), CORDON(true), UNCORDON(true), QUIESCE(false), RESUME(false);
+
+    private final boolean namesBox;
+
+    Call(boolean namesBox) {
+        this.namesBox = namesBox;
+    }
+
+    /** Whether the call names a model box. */
+    public boolean namesBox() {
+        return namesBox;
+    }
+}
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -34,6 +34,7 @@
     private final Answers answers;
     private final Tries tries;
     private final Streams streams;
+    private final Calls calls;
     private boolean leaving;
     private boolean lettingGo;
     /** What the list tells is told on, to be kept. */
@@ -46,7 +47,7 @@
     public Desk(Terms terms, Bounds bounds, Counters counters,
             Function<Routing.Actions, Routing.Events> makeModule) {
         this.turn = new Turn(counters);
-        this.boxes = new KnownBoxes(turn::now);
+        this.boxes = new KnownBoxes(turn::now, terms.coldFor());
         this.clients = new Clients(bounds.clients(), turn::now, turn.timers(), counters, turn::effect);
         this.watch = new ListWatch(terms, turn::now, turn.timers(), counters, turn::effect,
                 this::listFailed);
@@ -55,6 +56,8 @@
         this.answers = new Answers(turn, terms, bounds, boxes, lines, others);
         this.tries = answers.tries();
         this.streams = new Streams(turn, lines, answers);
+        this.calls = new Calls(turn, terms, counters, boxes, () -> answers.open() + others.claims(),
+                this::unready, this::changedHere);
         turn.module(makeModule.apply(new Collector()));
     }
 
@@ -84,7 +87,23 @@
 
     /** Whether a request that came now could be served. */
     public boolean ready() {
-        return !leaving && boxes.all().stream().anyMatch(ModelBox::takesWork);
+        return unready().isEmpty();
+    }
+
+    /** Why a request that came now could not be served; empty if it could. */
+    public String unready() {
+        if (leaving && !lettingGo) {
+            return "leaving";
+        }
+        if (calls.quiesced()) {
+            return "quiesced";
+        }
+        return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
+    }
+
+    /** Whether an operator has told it to send clients away. */
+    public boolean quiesced() {
+        return calls.quiesced();
     }
 
     /** How much is kept of requests, clients, lines and times to come: at rest, as much as at the start. */
@@ -141,7 +160,7 @@
             clients.quiet(e.client());
         } else if (event instanceof Event.ClientLeft e) {
             clients.left(e.client());
-            others.clientLeft(e.client());
+            others.clientLeft(e.client()).forEach(a -> answers.ended(a.request(), Ending.FAILED));
             answers.clientLeft(e.client());
         } else if (event instanceof Event.Tick) {
             for (Runnable task = turn.timers().poll(turn.now()); task != null;
@@ -175,6 +194,8 @@
             marked(e.marks());
         } else if (event instanceof Event.Keeping) {
             keeping = true;
+        } else if (event instanceof Event.Called e) {
+            calls.called(e, leaving);
         } else if (event instanceof Event.Leave) {
             leave();
         }
@@ -340,6 +361,7 @@
         @Override
         public void turnAway(Event.Asked asked) {
             turn.count("answers.refused");
+            answers.ended(asked.request(), Ending.REJECTED);
             turn.effect(new Effect.Refuse(asked.client(), 0));
         }
     }
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -60,6 +60,14 @@
     record CloseIdleClients() implements Effect {
     }
 
+    /** Answer an operator's call. */
+    record AnswerCall(long caller, boolean yes, String text) implements Effect {
+    }
+
+    /** Answer an operator's call with the figures. */
+    record AnswerFigures(long caller, Figures figures) implements Effect {
+    }
+
     /** Tell this router's other generations. */
     record TellOthers(OtherNews news) implements Effect {
     }
--- /dev/null
+++ b/src/main/java/yewdock/desk/Ending.java
@@ -0,0 +1,11 @@
+package yewdock.desk;
+
+/** How a request that was taken has ended. */
+enum Ending {
+    COMPLETED, REJECTED, FAILED;
+
+    /** The counter of a class's requests that ended so. */
+    String counter(String requestClass) {
+        return "requests." + requestClass + "." + name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -107,6 +107,10 @@
     record Marked(Map<String, BoxMark> marks) implements Event {
     }
 
+    /** An operator has called; box is the name that the call says, or "". */
+    record Called(long caller, Call call, String box) implements Event {
+    }
+
     /** The router is to leave. */
     record Leave() implements Event {
     }
--- a/src/main/java/yewdock/desk/KnownBoxes.java
+++ b/src/main/java/yewdock/desk/KnownBoxes.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
@@ -21,10 +22,13 @@
     private final Map<Long, ModelBox> boxes = new HashMap<>();
     /** When the list first told the state that each box has. */
     private final Map<Long, Long> toldAt = new HashMap<>();
-    private Map<String, BoxMark> marks = Map.of();
+    /** By the boxes' names, not by what the list says of them: a mark outlives the list's entry. */
+    private final Map<String, BoxMark> marks = new TreeMap<>();
+    private final long coldFor;
 
-    KnownBoxes(LongSupplier now) {
+    KnownBoxes(LongSupplier now, long coldFor) {
         this.now = now;
+        this.coldFor = coldFor;
     }
 
     /** The list tells something. */
@@ -45,12 +49,58 @@
         toldAt.keySet().retainAll(told.keySet());
     }
 
-    /** These are all the marks that hold from now on. */
+    /** These are all the marks that hold from now on; what drains no more is back. */
     void mark(Map<String, BoxMark> all) {
-        marks = Map.copyOf(all);
+        Map<String, BoxMark> before = new TreeMap<>(marks);
+        marks.clear();
+        marks.putAll(all);
+        before.forEach((name, mark) -> {
+            if (mark.kind() == BoxMark.Kind.BACK) {
+                marks.putIfAbsent(name, mark);
+            } else if (mark.drains() && !all.containsKey(name)) {
+                back(name);
+            }
+        });
+        marksChanged();
+    }
+
+    /** An operator puts the box out of use. */
+    void cordon(String name) {
+        marks.put(name, BoxMark.DRAINS);
+        marksChanged();
+    }
+
+    /** An operator puts the box back into use. */
+    void uncordon(String name) {
+        back(name);
+        marksChanged();
+    }
+
+    /** It was restarted while it was out of use, or stood empty: whatever the list says, it is cold. */
+    private void back(String name) {
+        marks.put(name, new BoxMark(BoxMark.Kind.BACK, now.getAsLong()));
+    }
+
+    private void marksChanged() {
+        marks.values().removeIf(mark -> mark.kind() == BoxMark.Kind.BACK
+                && mark.at() + coldFor < now.getAsLong());
         told.values().forEach(this::place);
     }
 
+    boolean cordoned(String name) {
+        BoxMark mark = marks.get(name);
+        return mark != null && mark.drains();
+    }
+
+    /** Whether the list has a box of this name. */
+    boolean named(String name) {
+        return told.values().stream().anyMatch(box -> box.name().equals(name));
+    }
+
+    Map<String, BoxMark> marks() {
+        return marks;
+    }
+
     private void place(ModelBox box) {
         ModelBox over = over(box);
         if (over.isGone()) {
@@ -62,17 +112,27 @@
 
     private ModelBox over(ModelBox box) {
         BoxMark mark = marks.get(box.name());
-        if (mark == null || box.isGone() || !mark.holds(box)) {
+        if (mark == null || box.isGone()) {
             return box;
         }
-        return mark.gone() ? as(box, Lifecycle.GONE) : as(box, Lifecycle.DRAINING);
+        long startedAt = box.replica().startedAt();
+        return switch (mark.kind()) {
+            case DRAINS -> as(box, Lifecycle.DRAINING);
+            case GONE -> startedAt <= mark.at() ? as(box, Lifecycle.GONE) : box;
+            // a box whose restart the list tells is as old as the list says
+            case BACK -> startedAt >= mark.at() ? box : as(box, box.replica().lifecycle(), mark.at());
+        };
     }
 
     /** The box in another state. */
     static ModelBox as(ModelBox box, Lifecycle lifecycle) {
+        return as(box, lifecycle, box.replica().startedAt());
+    }
+
+    private static ModelBox as(ModelBox box, Lifecycle lifecycle, long startedAt) {
         Replica r = box.replica();
         return new ModelBox(box.name(), box.address(), new Replica(r.id(), r.zone(), r.kind(), r.cell(),
-                r.weight(), lifecycle, r.startedAt()));
+                r.weight(), lifecycle, startedAt));
     }
 
     /** What the list tells, as it holds under the marks. */
--- a/src/main/java/yewdock/desk/Others.java
+++ b/src/main/java/yewdock/desk/Others.java
@@ -66,6 +66,10 @@
         return claims.size() + ids.values().stream().mapToInt(Set::size).sum();
     }
 
+    int claims() {
+        return claims.size();
+    }
+
     boolean claiming() {
         return !claims.isEmpty();
     }
@@ -138,13 +142,17 @@
         });
     }
 
-    void clientLeft(long client) {
+    /** Gives up what a client asked; returns the requests of it that were being claimed. */
+    List<Event.Asked> clientLeft(long client) {
+        List<Event.Asked> left = new ArrayList<>();
         for (Claim c : List.copyOf(claims.values())) {
             if (c.asked.client() == client) {
+                left.add(c.asked);
                 claims.remove(c.asked.request().id());
                 effects.accept(new Effect.TellOthers(new OtherNews.Released(c.asked.request().id())));
             }
         }
+        return left;
     }
 
     /** Another generation's claim; openHere tells whether a request of the id is open in this one. */
--- a/src/main/java/yewdock/desk/Terms.java
+++ b/src/main/java/yewdock/desk/Terms.java
@@ -15,11 +15,14 @@
  * @param copies whether two tries of one request may be out together at all
  * @param mostTries how many tries a request may have
  * @param repeatable by class: whether running a request twice does no harm
+ * @param classes the classes' names
+ * @param coldFor the longest time in which a box that has started is cold
  */
 public record Terms(long connectTimeout, long keepalive, boolean listPushed, long drainGrace, long askWithin,
-        boolean copies, int mostTries, List<Boolean> repeatable) {
+        boolean copies, int mostTries, List<Boolean> repeatable, List<String> classes, long coldFor) {
     public Terms {
         repeatable = List.copyOf(repeatable);
+        classes = List.copyOf(classes);
     }
 
     /** The terms that a deployment's settings make; keepalive is not the module's business. */
@@ -28,7 +31,8 @@
         return new Terms(settings.limits().connectTimeout(), keepalive, !settings.askForList(),
                 contract.drainGrace(), contract.askWithin(), settings.limits().mayDuplicate(),
                 settings.limits().maxAttempts(),
-                settings.classes().stream().map(c -> c.effect() != Routing.Effect.FRAGILE).toList());
+                settings.classes().stream().map(c -> c.effect() != Routing.Effect.FRAGILE).toList(),
+                settings.classes().stream().map(Routing.RequestClass::name).toList(), contract.coldFor());
     }
 
     /** Whether two tries of a request of this class may be out together. */
--- a/src/main/java/yewdock/desk/Tries.java
+++ b/src/main/java/yewdock/desk/Tries.java
@@ -185,8 +185,9 @@
 
     void written(long id) {
         Line line = lines.get(id);
-        if (line != null && line.current != null) {
+        if (line != null && line.current != null && !line.current.written) {
             line.current.written = true;
+            turn.count("tries.written");
         }
     }
 
--- /dev/null
+++ b/src/main/java/yewdock/door/Caller.java
@@ -0,0 +1,122 @@
+package yewdock.door;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import yewdock.desk.Call;
+import yewdock.platform.Side;
+import yewdock.platform.Wire;
+
+/** An operator's connection: a line comes, an answer goes, and it is closed. */
+final class Caller implements Side {
+    /** No call is longer. */
+    static final int MOST_LINE = 512;
+
+    private final Door door;
+    private final long id;
+    private final Wire wire;
+    private final StringBuilder line = new StringBuilder();
+    private boolean called;
+    /** Whether more came than the line: closing on it unread could lose the answer. */
+    private boolean surplus;
+
+    Caller(Door door, long id, Wire wire) {
+        this.door = door;
+        this.id = id;
+        this.wire = wire;
+    }
+
+    @Override
+    public void up() {
+        // a caller's connection is up from the first
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        if (called) {
+            return;
+        }
+        while (bytes.hasRemaining()) {
+            char c = (char) (bytes.get() & 0xff);
+            if (c == '\n') {
+                surplus = bytes.hasRemaining();
+                call(line.toString());
+                return;
+            }
+            line.append(c);
+            if (line.length() > MOST_LINE) {
+                surplus = true;
+                turnDown("the line is too long");
+                return;
+            }
+        }
+    }
+
+    private void call(String text) {
+        String[] words = text.strip().split("\\s+");
+        Call call = named(words[0]);
+        int wanted = call != null && call.namesBox() ? 2 : 1;
+        if (call == null) {
+            turnDown("unknown call; there are health, counters, cordon ID, uncordon ID, quiesce, resume");
+        } else if (words.length != wanted) {
+            turnDown(wanted == 2 ? "one id is wanted" : "nothing is wanted behind this call");
+        } else {
+            called = true;
+            door.called(id, call, wanted == 2 ? words[1] : "");
+        }
+    }
+
+    private static Call named(String word) {
+        for (Call call : Call.values()) {
+            if (call.name().toLowerCase(Locale.ROOT).equals(word)) {
+                return call;
+            }
+        }
+        return null;
+    }
+
+    private void turnDown(String why) {
+        called = true;
+        answer("NO " + why + "\n");
+    }
+
+    void answer(String text) {
+        wire.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        end();
+    }
+
+    private void end() {
+        if (surplus) {
+            wire.closeGently();
+        } else {
+            wire.closeAfterWriting();
+        }
+    }
+
+    /** Others need the place: one that is being answered goes by itself, one that says nothing goes now. */
+    void makeRoom() {
+        door.forget(id);
+        if (!called) {
+            called = true;
+            wire.close();
+        }
+    }
+
+    @Override
+    public void written(int bytes) {
+        // the close waits for it
+    }
+
+    /** No call came for long, or the end of a gentle close. */
+    @Override
+    public void idle() {
+        called = true;
+        wire.close();
+    }
+
+    @Override
+    public void down() {
+        called = true;
+        door.forget(id);
+    }
+}
--- /dev/null
+++ b/src/main/java/yewdock/door/Door.java
@@ -0,0 +1,91 @@
+package yewdock.door;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import yewdock.desk.Call;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.Figures;
+import yewdock.platform.Front;
+import yewdock.platform.Side;
+import yewdock.platform.Wire;
+
+/**
+ * The operators' door: one line to a connection, and one answer. It reads calls and prints answers; what they
+ * do is the desk's business. Runs on the desk's thread.
+ *
+ * <p>Callers that say nothing cost no good one its place: beyond a few, the one that has been silent longest
+ * makes room.
+ */
+public final class Door {
+    /** So many callers at once; more take descriptors that clients and boxes need. */
+    public static final int MOST_CALLERS = 16;
+    /** Those that are being given up still hold a descriptor for a moment. */
+    public static final int MOST_ACCEPTED = MOST_CALLERS + 8;
+    /** A caller that sends nothing for so long is given up. */
+    public static final int PATIENCE_SECONDS = 3;
+    static final String PREFIX = "edge_proxy.";
+
+    private final Front front;
+    private final Map<Long, Caller> callers = new LinkedHashMap<>();
+    private long last;
+
+    /** A door whose calls go through this front. */
+    public Door(Front front) {
+        this.front = front;
+        front.answerCallsBy(this::answer);
+    }
+
+    /** An operator has connected. */
+    public Side accept(Wire wire) {
+        Caller caller = new Caller(this, ++last, wire);
+        callers.put(last, caller);
+        if (callers.size() > MOST_CALLERS) {
+            callers.values().iterator().next().makeRoom();
+        }
+        return caller;
+    }
+
+    void called(long caller, Call call, String box) {
+        front.happened(new Event.Called(caller, call, box));
+    }
+
+    void forget(long caller) {
+        callers.remove(caller);
+    }
+
+    private void answer(Effect effect) {
+        if (effect instanceof Effect.AnswerCall e) {
+            answer(e.caller(), (e.yes() ? "YES " : "NO ") + e.text() + "\n");
+        } else if (effect instanceof Effect.AnswerFigures e) {
+            answer(e.caller(), print(e.figures()));
+        }
+    }
+
+    private void answer(long caller, String text) {
+        Caller to = callers.get(caller);
+        if (to != null) {
+            to.answer(text);
+        }
+    }
+
+    /** The figures, one a line, and a last line that tells that none is missing. */
+    static String print(Figures figures) {
+        StringBuilder text = new StringBuilder();
+        for (Figures.OfClass c : figures.classes()) {
+            String name = "downstream_requests." + c.name() + '.';
+            line(text, name + "completed", c.completed());
+            line(text, name + "rejected", c.rejected());
+            line(text, name + "failed", c.failed());
+        }
+        line(text, "upstream_requests", figures.tries());
+        line(text, "pending", figures.pending());
+        line(text, "members", figures.boxes());
+        line(text, "members_unavailable", figures.avoided());
+        return text.append("END\n").toString();
+    }
+
+    private static void line(StringBuilder text, String name, long figure) {
+        text.append(PREFIX).append(name).append('=').append(figure).append('\n');
+    }
+}
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -176,11 +176,8 @@
                 }
             }
             case "/ready" -> {
-                if (front.ready()) {
-                    answer(200, "ready\n", "");
-                } else {
-                    answer(503, front.leaving() ? "leaving\n" : "no model box is known\n", "");
-                }
+                String why = front.unready();
+                answer(why.isEmpty() ? 200 : 503, (why.isEmpty() ? "ready" : why) + "\n", "");
             }
             case "/counters" -> answer(200, front.counters().toString(), "");
             default -> answer(404, "no such path\n", "");
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -13,8 +13,11 @@
 import yewdock.desk.Bounds;
 import yewdock.desk.BoxList;
 
-/** What the router is told at its start. keepalive is in microseconds. */
-public record Config(String name, String listen, String discovery, long seed, long keepalive,
+/**
+ * What the router is told at its start. keepalive is in microseconds; operator is where operators call, or ""
+ * where they don't.
+ */
+public record Config(String name, String listen, String operator, String discovery, long seed, long keepalive,
         Routing.Settings settings, Names names, Bounds bounds, BoxList known) {
     private static final double MICROS = 1e6;
     /** What a configuration without limits is taken to allow: the most that a router gets. */
@@ -61,8 +64,12 @@
         String discovery = all.getString("discovery");
         Addresses.of(discovery);
         Addresses.of(all.getString("listen"));
+        String operator = all.optString("operator", "");
+        if (!operator.isEmpty()) {
+            Addresses.of(operator);
+        }
         JSONObject known = all.optJSONObject("known");
-        return new Config(all.getString("name"), all.getString("listen"), discovery,
+        return new Config(all.getString("name"), all.getString("listen"), operator, discovery,
                 Long.parseUnsignedLong(all.getString("seed"), 16), time(l, "keepalive"), settings, names,
                 bounds(all.optJSONObject("limits", new JSONObject())),
                 known == null ? BoxList.NOTHING : new BoxLists(names, log).read(known));
@@ -73,6 +80,7 @@
         List<String> waits = new ArrayList<>();
         differs("name", name, next.name, waits);
         differs("listen", listen, next.listen, waits);
+        differs("operator", operator, next.operator, waits);
         differs("limits", bounds, next.bounds, waits);
         differs("keepalive", keepalive, next.keepalive, waits);
         differs("settings", settings, next.settings, waits);
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -32,6 +32,8 @@
     private final Consumer<String> log;
     /** Takes the effects that concern other generations; without them there is nobody to tell. */
     private Consumer<Effect> others = effect -> { };
+    /** Takes the answers to operators' calls. */
+    private Consumer<Effect> calls = effect -> { };
     private final Map<Long, ClientSide> clients = new LinkedHashMap<>();
     private final Map<Long, BoxSide> lines = new HashMap<>();
     private ListSide list;
@@ -69,6 +71,11 @@
         others = teller;
     }
 
+    /** Where the answers to operators' calls go. */
+    public void answerCallsBy(Consumer<Effect> answerer) {
+        calls = answerer;
+    }
+
     /** A new configuration: what can be taken while requests are open is, the rest is named in the log. */
     public void reconfigure(Config next) {
         List<String> waits = config.startsAnew(next);
@@ -173,6 +180,8 @@
         } else if (effect instanceof Effect.CloseIdleClients) {
             closing = true;
             List.copyOf(clients.values()).forEach(ClientSide::closeIfIdle);
+        } else if (effect instanceof Effect.AnswerCall || effect instanceof Effect.AnswerFigures) {
+            calls.accept(effect);
         } else if (effect instanceof Effect.TellOthers || effect instanceof Effect.ShareOut) {
             others.accept(effect);
         } else if (effect instanceof Effect.Log e) {
@@ -218,17 +227,19 @@
         return coming <= MOST_COMING;
     }
 
-    boolean ready() {
-        return desk.ready();
-    }
-
     /** Whether answers should tell clients to close, and idle ones be closed. */
     boolean leaving() {
-        return desk.leaving() || desk.lettingGo();
+        return desk.leaving() || desk.lettingGo() || desk.quiesced();
     }
 
+    /** Whether connections end with their answers, also with those that did not say so. */
     boolean closingIdle() {
-        return closing;
+        return closing && leaving();
+    }
+
+    /** Why this router is not ready; empty if it is. */
+    String unready() {
+        return desk.unready();
     }
 
     Counters counters() {
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ProtocolFamily;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.Pipe;
@@ -69,6 +70,7 @@
     });
     private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector;
+    private final NioProcessor processor;
     private final Room room;
     private final Semaphore queueRoom = new Semaphore(MOST_QUEUED);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -95,16 +97,12 @@
     public Sockets(int mostClients) {
         room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
-        NioProcessor processor = new NioProcessor(threads);
-        acceptor = new BoundedAcceptor(threads, processor);
+        processor = new NioProcessor(threads);
+        acceptor = new BoundedAcceptor(threads, processor, room, wire -> front.accept(wire));
         connector = new NioSocketConnector(threads, processor);
-        acceptor.setReuseAddress(true);
-        acceptor.setBacklog(BACKLOG);
-        acceptor.setHandler(new Handler());
         connector.setHandler(new Handler());
         // Time-outs of connecting are the desk's; MINA's own must never come first.
         connector.setConnectTimeoutMillis(TimeUnit.HOURS.toMillis(1));
-        configure(acceptor.getSessionConfig());
         configure(connector.getSessionConfig());
     }
 
@@ -133,6 +131,28 @@
         loop(desk);
     }
 
+    /**
+     * Listens for clients beside another process that does, where both share the address. Called on the
+     * desk's thread.
+     */
+    public void listenBeside(String address) throws IOException {
+        acceptor.shares = true;
+        acceptor.bind(Addresses.of(address));
+        Logger.info("listens on {}", acceptor.getLocalAddress());
+    }
+
+    /**
+     * Listens there too, for so many callers at once, each of which is given up when it says nothing for so
+     * many seconds. Called before the desk's thread serves.
+     */
+    public void listenAlso(String address, int most, int patience, Function<Wire, Side> greet)
+            throws IOException {
+        BoundedAcceptor also = new BoundedAcceptor(threads, processor, new Room(most), greet);
+        also.getSessionConfig().setReaderIdleTime(patience);
+        also.bind(Addresses.of(address));
+        Logger.info("operators call {}", also.getLocalAddress());
+    }
+
     /** Has the desk's thread do this, after all that has come before it; any thread may call it. */
     public void post(Runnable work) {
         queue.add(new Task(null, work));
@@ -261,6 +281,9 @@
 
     /** Accepts a connection only when there is room for it; until then it waits in the system's queue. */
     private final class BoundedAcceptor extends NioSocketAcceptor {
+        private final Room room;
+        /** Whether another process may listen at the same address, each with a queue of its own. */
+        private volatile boolean shares;
         // set by init, which the constructor above this one calls: no initial value may wipe it out
         private KnownSelectors selectors;
         private volatile ServerSocketChannel shared;
@@ -273,6 +296,20 @@
 
         @Override
         protected ServerSocketChannel open(SocketAddress address) throws Exception {
+            if (shares) {
+                ServerSocketChannel beside = ServerSocketChannel.open();
+                try {
+                    beside.configureBlocking(false);
+                    beside.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                    beside.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                    beside.bind(address, BACKLOG);
+                    beside.register(selectors.made, SelectionKey.OP_ACCEPT);
+                } catch (IOException | RuntimeException e) {
+                    beside.close();
+                    throw e;
+                }
+                return beside;
+            }
             if (shared == null) {
                 return super.open(address);
             }
@@ -287,6 +324,7 @@
         @Override
         protected void close(ServerSocketChannel listening) throws Exception {
             if (listening != shared) {
+                takeAllThatWait(listening);
                 super.close(listening);
                 return;
             }
@@ -297,8 +335,25 @@
             selectors.made.wakeup();
         }
 
-        BoundedAcceptor(Executor threads, IoProcessor<NioSession> processor) {
+        /** Connections in the queue are made as far as their clients know: closing would reset them. */
+        private void takeAllThatWait(ServerSocketChannel listening) throws Exception {
+            selectors.made.selectNow();
+            for (NioSession session = accept(processor, listening); session != null;
+                    session = accept(processor, listening)) {
+                initSession(session, null, null);
+                session.getProcessor().add(session);
+                selectors.made.selectNow();
+            }
+        }
+
+        BoundedAcceptor(Executor threads, IoProcessor<NioSession> processor, Room room,
+                Function<Wire, Side> greet) {
             super(threads, processor);
+            this.room = room;
+            setReuseAddress(true);
+            setBacklog(BACKLOG);
+            setHandler(new Handler(room, greet));
+            configure(getSessionConfig());
         }
 
         @Override
@@ -394,6 +449,20 @@
 
     /** Puts what MINA sees into the queue. */
     private final class Handler extends IoHandlerAdapter {
+        private final Room room;
+        private final Function<Wire, Side> greet;
+
+        /** For connections of our own making. */
+        Handler() {
+            this(null, null);
+        }
+
+        /** For those that others make: each takes room until it is closed. */
+        Handler(Room room, Function<Wire, Side> greet) {
+            this.room = room;
+            this.greet = greet;
+        }
+
         @Override
         public void sessionCreated(IoSession session) {
             if (session.getAttribute(WIRE) == null) {
@@ -401,7 +470,7 @@
                 wire.session = session;
                 session.setAttribute(WIRE, wire);
                 session.getCloseFuture().addListener(closed -> room.release());
-                queue.add(new Task(wire, () -> wire.side = front.accept(wire)));
+                queue.add(new Task(wire, () -> wire.side = greet.apply(wire)));
             }
         }
 
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -20,7 +20,7 @@
 /** The router refuses before it runs out of memory or descriptors. */
 class BoundsTest {
     private static final Terms TERMS = new Terms(250_000, 5_000_000, false, 1_000_000, 10_000_000, false, 4,
-            List.of());
+            List.of(), List.of("chat"), 0);
     private static final int MEGABYTE = 1 << 20;
     private final Counters counters = new Counters();
     private final Desk desk = new Desk(TERMS,
--- a/src/test/java/yewdock/CopiesTest.java
+++ b/src/test/java/yewdock/CopiesTest.java
@@ -74,7 +74,8 @@
 
     private void start(boolean copies, boolean repeatable) {
         desk = new Desk(new Terms(250_000, 30_000_000, false, 500_000, 10_000_000, copies, MOST,
-                List.of(repeatable)), new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
+                List.of(repeatable), List.of("chat"), 0),
+                new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
         happens(new Event.Started(new BoxList(1, true, List.of(box(1, Lifecycle.READY),
                 box(2, Lifecycle.READY), box(3, Lifecycle.READY))), "127.0.0.1:8500"));
         happens(new Event.ClientCame(1));
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -18,6 +18,7 @@
 import yewdock.desk.Desk;
 import yewdock.desk.Event;
 import yewdock.desk.Terms;
+import yewdock.door.Door;
 import yewdock.http.BadMessageException;
 import yewdock.http.Head;
 import yewdock.http.MessageReader;
@@ -44,6 +45,7 @@
     private final Counters counters = new Counters();
     private final Desk desk;
     private final Front front;
+    private final Door door;
     private long micros;
     private int lines;
     private int lists;
@@ -53,6 +55,7 @@
         desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
                 InOrderModule::new);
         front = new Front(config, desk, counters, this, () -> START + micros, this::log);
+        door = new Door(front);
         front.start();
     }
 
@@ -158,9 +161,9 @@
         FakeWire wire = wires.get(who);
         switch (parts[3]) {
             case "opens" -> {
-                FakeWire client = new FakeWire(who);
-                client.side = front.accept(client);
-                client.side.up();
+                FakeWire opened = new FakeWire(who);
+                opened.side = who.startsWith("o") ? door.accept(opened) : front.accept(opened);
+                opened.side.up();
             }
             case "up" -> wire.side.up();
             case "breaks" -> wire.broken = true;
--- a/src/test/java/yewdock/PackagesTest.java
+++ b/src/test/java/yewdock/PackagesTest.java
@@ -19,7 +19,8 @@
             "yewdock.standin", "yewdock.experiment", "yewdock.scenario", "yewdock.model", "yewdock.textbook",
             "yewdock.daemon", "yewdock.upgrade", "yewdock.replica",
             "yewdock.state", "yewdock.wire", "yewdock.store", "yewdock.settings",
-            "yewdock.sockets", "yewdock.platform", "yewdock.http", "yewdock.desk", "umberspread",
+            "yewdock.sockets", "yewdock.door", "yewdock.platform",
+            "yewdock.http", "yewdock.desk", "umberspread",
             "yewdock.log");
     private static final Pattern USE = Pattern.compile("\\b((?:yewdock|umberspread)(?:\\.[a-z]+)*)\\.[A-Z]");
     private static final Path SOURCES = Path.of("src/main/java");
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -25,7 +25,7 @@
 class PushedListTest {
     private static final long GRACE = 500_000;
     private static final Terms PUSHED = new Terms(250_000, 30_000_000, true, GRACE, 10_000_000, true, 4,
-            List.of(true));
+            List.of(true), List.of("chat"), 0);
     private final Counters counters = new Counters();
     private final Agent agent = new Agent();
     private final List<String> told = new ArrayList<>();
--- a/src/test/java/yewdock/daemon/GenerationsSimTest.java
+++ b/src/test/java/yewdock/daemon/GenerationsSimTest.java
@@ -49,7 +49,7 @@
  */
 class GenerationsSimTest {
     private static final Terms TERMS = new Terms(250_000, 5_000_000, false, 1_000_000, 10_000_000, false, 4,
-            List.of());
+            List.of(), List.of("chat"), 0);
     private static final int SEEDS = Integer.getInteger("sim.seeds", 60);
     private static final int IDS = 25;
     private static final int CLIENTS = 14;
