A second process takes over from the first: state, ids, marks and listener over a link

Then, with the link in place, 68 streams were lost: 'cut off a stream or connection that was sound'; the log said 'lets_go open=20' and 10 ms later 18 left_midway. Ruled out: the desk's stop (it had not been asked to). At fault: unbinding in MINA ends all connections of an acceptor unless told not to, in Sockets.listenBeside.

The newer process finds the older one by a socket in TMPDIR, takes its state and marks, says that it owns the ids from now on, listens at the same address with SO_REUSEPORT, says yes, and tells the older one to let go. That one takes what waits in its queue before it closes the listener, asks the newer one for each further id, and ends when it has nothing left. It is a shell, daemon.Succession, over the links, records and events that the daemon's generations have; where the newer one dies the older takes back. Marks are kept in a file beside the socket as well, for a process that was killed. With nobody there, or with leftovers, the newer process serves by itself.

Rejected: a keeper that holds the listener, as the daemon has: the platform starts the second process itself, and nothing could stay when the first is killed. A file with the whole state: ids and tries that are out change with every request.

--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -8,8 +8,8 @@
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
 import umberspread.BoundedLoadRouter;
-import umberspread.GenerationRouter;
 import yewdock.daemon.Generation;
+import yewdock.daemon.Succession;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Terms;
@@ -59,11 +59,16 @@
         String operator = config.operator().isEmpty()
                 ? Objects.requireNonNullElse(System.getenv("PROXY_OPERATOR"), "") : config.operator();
         Counters counters = new Counters();
-        // only the figures at the operators' door need the router that tells of itself
+        // only a router with a door for operators is replaced by a process beside it
+        Succession succession = operator.isEmpty() ? null
+                : new Succession(Objects.requireNonNullElse(System.getenv("TMPDIR"), ""), config);
+        if (succession != null) {
+            succession.find();
+        }
         Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
-                actions -> operator.isEmpty()
+                actions -> succession == null
                         ? new BoundedLoadRouter(config.settings(), config.seed(), actions)
-                        : new GenerationRouter(config.settings(), config.seed(), actions));
+                        : succession.router(actions));
         Sockets sockets = new Sockets(config.bounds().clients());
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
         // The JVM ends when its hooks have: this one holds it until nothing is owed.
@@ -87,7 +92,7 @@
             Logger.warn("SIGHUP can't be taken here: a new configuration needs a restart");
         }
         try {
-            if (!operator.isEmpty()) {
+            if (succession != null) {
                 Door door = new Door(front);
                 sockets.listenAlso(operator, Door.MOST_ACCEPTED, Door.PATIENCE_SECONDS, door::accept);
             }
@@ -96,7 +101,11 @@
             Runtime.getRuntime().halt(1);
         }
         try {
-            sockets.serve(config.listen(), front, desk);
+            if (succession == null) {
+                sockets.serve(config.listen(), front, desk);
+            } else {
+                succession.serve(sockets, front, desk);
+            }
         } catch (IOException e) {
             Logger.error("can't listen on {}: {}", config.listen(), e.getMessage());
             Runtime.getRuntime().halt(1);
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -230,14 +230,7 @@
 
     /** On the desk's thread, first of all. */
     private void begin(States.Left left) {
-        boolean sameList = left != null && left.listAddress().equals(config.discovery());
-        if (left == null || left.boxes().boxes().isEmpty() && config.known().version() >= 0) {
-            front.start();
-        } else {
-            // the versions of one list mean nothing to another: then the whole of it is asked for
-            front.start(new BoxList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
-            desk.recallTold(left.toldAt());
-        }
+        begin(front, desk, config, left);
         if (keeping) {
             front.happened(new Event.Keeping());
         }
@@ -266,6 +259,18 @@
         }
     }
 
+    /** The first event of a process that goes on with what another left it, if there is such. */
+    static void begin(Front front, Desk desk, Config config, States.Left left) {
+        boolean sameList = left != null && left.listAddress().equals(config.discovery());
+        if (left == null || left.boxes().boxes().isEmpty() && config.known().version() >= 0) {
+            front.start();
+        } else {
+            // the versions of one list mean nothing to another: then the whole of it is asked for
+            front.start(new BoxList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
+            desk.recallTold(left.toldAt());
+        }
+    }
+
     private void listed() {
         Runnable then = whenListed;
         whenListed = null;
--- a/src/main/java/yewdock/daemon/Link.java
+++ b/src/main/java/yewdock/daemon/Link.java
@@ -29,6 +29,18 @@
         return new Link(channel);
     }
 
+    /** Connects to the socket at this path; throws IOException where nobody listens. */
+    static Link at(Path socket) throws IOException {
+        SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX);
+        try {
+            channel.connect(UnixDomainSocketAddress.of(socket));
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+        return new Link(channel);
+    }
+
     static Path socketIn(Path control) {
         return control.resolve("control.sock");
     }
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -15,6 +15,7 @@
 import yewdock.wire.Boxes;
 import yewdock.wire.Keep;
 import yewdock.wire.KeyMemory;
+import yewdock.wire.Mark;
 import yewdock.wire.Marks;
 import yewdock.wire.Memory;
 import yewdock.wire.News;
@@ -96,6 +97,17 @@
         return marks;
     }
 
+    /** Marks for another process; changes: those of other boxes hold as they did. */
+    static Marks marks(Map<String, BoxMark> marks, boolean changes) {
+        Marks.Builder all = Marks.newBuilder().setChanges(changes);
+        marks.forEach((box, mark) -> all.putByBox(box, Mark.newBuilder().setKind(switch (mark.kind()) {
+            case DRAINS -> Mark.Kind.DRAIN;
+            case GONE -> Mark.Kind.GONE;
+            case BACK -> Mark.Kind.BACK;
+        }).setStartedAt(mark.at()).build()));
+        return all.build();
+    }
+
     /** What the module has learnt, for the keeper to keep. */
     static Keep keep(umberspread.Memory memory, long clock) {
         return Keep.newBuilder().setClock(clock).setModule(memory(memory)).build();
--- /dev/null
+++ b/src/main/java/yewdock/daemon/Succession.java
@@ -0,0 +1,424 @@
+package yewdock.daemon;
+
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import umberspread.GenerationRouter;
+import umberspread.Routing;
+import yewdock.desk.BoxMark;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.OtherNews;
+import yewdock.log.Say;
+import yewdock.platform.Config;
+import yewdock.platform.Front;
+import yewdock.sockets.Clock;
+import yewdock.sockets.Sockets;
+import yewdock.wire.Frame;
+import yewdock.wire.GiveState;
+import yewdock.wire.Hello;
+import yewdock.wire.LetGo;
+import yewdock.wire.Marks;
+import yewdock.wire.News;
+import yewdock.wire.Share;
+import yewdock.wire.State;
+
+/**
+ * A router whose process is replaced by another, with no keeper between them: the newer one is started beside
+ * the older, finds it by a socket in the folder that both have, takes its state, listens at the same address
+ * and tells it to let go. What the two say to each other is what a daemon's generations say.
+ *
+ * <p>With nobody there, or with one that doesn't answer, the newer one serves by itself; it is never kept
+ * from serving by what it finds in the folder. All but the finding happens on the desk's thread.
+ */
+public final class Succession {
+    private static final int OLDER = 1;
+    private static final int NEWER = 2;
+    /** An older process that is asked for its state, and then for what it has out, answers so soon. */
+    private static final long STATE_MILLIS = 1_500;
+    private static final long SHARE_MILLIS = 2_500;
+    /** A newer one that has taken the ids listens so soon, or is given up. */
+    private static final long TAKE_MILLIS = 3_000;
+    /** An older process that still finishes is waited for so long before a third may take over. */
+    private static final long FINISH_MILLIS = 2_000;
+    private static final long LOOK_MILLIS = 100;
+    private static final long LET_GO_MICROS = 600_000_000L;
+    private static final int MOST_PATH = 100;
+
+    private final Config config;
+    /** Null where there is no folder that both processes would have. */
+    private final Path socket;
+    private final MarksFile marksFile;
+    private final CompletableFuture<State> state = new CompletableFuture<>();
+    private volatile Marks marksLeft;
+    private Link older;
+    private States.Left left;
+    private GenerationRouter router;
+    private final List<Runnable> early = new ArrayList<>();
+    private Sockets sockets;
+    private Front front;
+    private Desk desk;
+    private ServerSocketChannel door;
+    /** Written on the desk's thread only. */
+    private Link newer;
+    private boolean listening;
+    private boolean shared;
+    private boolean letGo;
+
+    /** The router of this configuration, whose processes have this folder; "" if they have none. */
+    public Succession(String folder, Config config) {
+        this.config = config;
+        Path base = folder.isEmpty() ? null : Path.of(folder).toAbsolutePath()
+                .resolve("yewdock-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_"));
+        this.marksFile = base == null ? null : new MarksFile(base.resolveSibling(base.getFileName() + ".marks"));
+        this.socket = base == null || base.toString().length() > MOST_PATH ? null
+                : base.resolveSibling(base.getFileName() + ".sock");
+    }
+
+    /** Looks for an older process and takes its state; any thread may call it, once, before all else. */
+    public void find() {
+        if (socket == null || !Files.exists(socket)) {
+            return;
+        }
+        try {
+            older = Link.at(socket);
+        } catch (IOException | RuntimeException e) {
+            Say.info("succession.nobody", "why", e.getMessage());
+            return;
+        }
+        older.start("older", this::heardOfOlder, why -> {
+            state.complete(State.getDefaultInstance());
+            later(() -> olderGone(why));
+        });
+        older.send(Frame.newBuilder().setHello(Hello.newBuilder().setProgram(
+                String.valueOf(getClass().getPackage().getImplementationVersion()))).build());
+        older.send(Frame.newBuilder().setGiveState(GiveState.getDefaultInstance()).build());
+        try {
+            left = States.read(state.get(STATE_MILLIS, TimeUnit.MILLISECONDS), new Clock().getAsLong(),
+                    System.nanoTime());
+        } catch (TimeoutException | ExecutionException | UnreadableStateException e) {
+            Say.warn("succession.no_state", "why", e.toString(), "now", "going on without");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The module, with what the older process has learnt. */
+    public Routing.Events router(Routing.Actions actions) {
+        router = left == null || left.memory() == null
+                ? new GenerationRouter(config.settings(), config.seed(), actions)
+                : new GenerationRouter(config.settings(), config.seed(), actions, left.memory(), left.shift());
+        return router;
+    }
+
+    /** Serves until told to stop. */
+    public void serve(Sockets on, Front by, Desk of) {
+        synchronized (this) {
+            sockets = on;
+            early.forEach(on::post);
+            early.clear();
+        }
+        front = by;
+        desk = of;
+        front.tellOthersBy(this::tell);
+        sockets.serveLater(this::begin, front, desk);
+        if (newer == null && door != null) {
+            delete();
+        }
+    }
+
+    /** On the desk's thread; what comes before there is one waits for it. */
+    private synchronized void later(Runnable work) {
+        if (sockets != null) {
+            sockets.post(work);
+        } else {
+            early.add(work);
+        }
+    }
+
+    private void after(long millis, Runnable work) {
+        Thread timer = new Thread(() -> {
+            try {
+                Thread.sleep(millis);
+                later(work);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "succession");
+        timer.setDaemon(true);
+        timer.start();
+    }
+
+    // ---- the newer process
+
+    private void begin() {
+        Generation.begin(front, desk, config, left);
+        Map<String, BoxMark> marks = marksLeft != null ? States.marks(marksLeft) : kept();
+        if (!marks.isEmpty()) {
+            front.happened(new Event.Marked(marks));
+            Say.info("succession.marks", "boxes", marks.size());
+        }
+        if (older == null) {
+            takeOver();
+            return;
+        }
+        front.happened(new Event.Waits(true));
+        older.send(Frame.newBuilder().setShare(Share.getDefaultInstance()).build());
+        after(SHARE_MILLIS, () -> {
+            if (!listening) {
+                Say.warn("succession.silent", "now", "taking over all the same");
+                takeOver();
+            }
+        });
+    }
+
+    private Map<String, BoxMark> kept() {
+        try {
+            return marksFile == null ? Map.of() : marksFile.read();
+        } catch (IOException e) {
+            Say.warn("succession.marks_unreadable", "why", e.getMessage(), "now", "going on without");
+            return Map.of();
+        }
+    }
+
+    /** Listens, and only then is ready; the older process lets go once this one takes connections. */
+    private void takeOver() {
+        if (listening) {
+            return;
+        }
+        listen();
+        awaitSuccessor();
+        front.happened(new Event.Waits(false));
+        if (older != null) {
+            older.send(Frame.newBuilder().setLetGo(LetGo.newBuilder().setLimitMicros(LET_GO_MICROS)).build());
+            Say.info("succession.took_over", "boxes", desk.holdings().boxes().boxes().size());
+        }
+    }
+
+    private void listen() {
+        try {
+            sockets.listenBeside(config.listen());
+            listening = true;
+        } catch (IOException e) {
+            Say.warn("succession.no_listener", "address", config.listen(), "why", e.getMessage());
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    private void heardOfOlder(Frame frame) {
+        if (frame.hasState()) {
+            state.complete(frame.getState());
+        } else if (frame.hasMarks() && !frame.getMarks().getChanges()) {
+            marksLeft = frame.getMarks();
+        } else {
+            later(() -> fromOlder(frame));
+        }
+    }
+
+    private void fromOlder(Frame frame) {
+        switch (frame.getWhatCase()) {
+            case SHARING -> {
+                front.happened(new Event.Adopt(OLDER, States.holdings(frame.getSharing())));
+                takeOver();
+            }
+            case NEWS -> news(OLDER, frame.getNews());
+            case MARKS -> changed(frame.getMarks());
+            default -> Say.warn("frame.unknown", "from", "older", "frame", frame.getWhatCase());
+        }
+    }
+
+    private void olderGone(String why) {
+        Say.info("succession.older_gone", "why", why);
+        older = null;
+        front.happened(new Event.OtherGone(OLDER));
+        takeOver();
+    }
+
+    // ---- the older process
+
+    /** Whoever is started next finds this process here. */
+    private void awaitSuccessor() {
+        if (socket == null) {
+            return;
+        }
+        try {
+            delete();
+            door = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+            door.bind(UnixDomainSocketAddress.of(socket));
+        } catch (IOException | RuntimeException e) {
+            // Unix sockets may be refused here: the process can be replaced all the same, without its state
+            Say.warn("succession.no_socket", "why", e.getMessage());
+            door = null;
+            return;
+        }
+        ServerSocketChannel mine = door;
+        Thread acceptor = new Thread(() -> {
+            try {
+                while (true) {
+                    Link link = new Link(mine.accept());
+                    later(() -> came(link));
+                }
+            } catch (ClosedChannelException e) {
+                // not waiting any more
+            } catch (IOException e) {
+                Say.warn("succession.no_socket", "why", e.getMessage());
+            }
+        }, "succession");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    private void delete() {
+        try {
+            Files.deleteIfExists(socket);
+        } catch (IOException e) {
+            Say.warn("succession.leftover", "file", socket, "why", e.getMessage());
+        }
+    }
+
+    private void came(Link link) {
+        if (newer != null) {
+            Say.warn("succession.second", "now", "turned away: another process is taking over");
+            link.close();
+            return;
+        }
+        newer = link;
+        link.start("newer", frame -> later(() -> fromNewer(link, frame)),
+                why -> later(() -> newerGone(link, why)));
+    }
+
+    private void fromNewer(Link link, Frame frame) {
+        if (link != newer) {
+            return;
+        }
+        switch (frame.getWhatCase()) {
+            case HELLO -> Say.info("succession.newer", "program", frame.getHello().getProgram());
+            case GIVE_STATE -> {
+                newer.send(Frame.newBuilder().setMarks(States.marks(desk.marks(), false)).build());
+                // each process counts from 0
+                newer.send(Frame.newBuilder().setState(States.write(desk.holdings(), router.memory(),
+                        Map.of(), sockets.clock().getAsLong(), System.nanoTime())).build());
+            }
+            case SHARE -> share(link, System.nanoTime());
+            case NEWS -> news(NEWER, frame.getNews());
+            case MARKS -> changed(frame.getMarks());
+            case LET_GO -> {
+                letGo = true;
+                if (listening) {
+                    listening = false;
+                    sockets.stopAccepting();
+                }
+                Say.info("succession.lets_go", "open", desk.holdings().ids().size());
+                front.happened(new Event.LetGo(frame.getLetGo().getLimitMicros()));
+            }
+            default -> Say.warn("frame.unknown", "from", "newer", "frame", frame.getWhatCase());
+        }
+    }
+
+    /** Of three processes the middle one can't speak for the oldest: that one is waited for, but not long. */
+    private void share(Link link, long since) {
+        if (link != newer) {
+            return;
+        }
+        if (older != null && System.nanoTime() - since < TimeUnit.MILLISECONDS.toNanos(FINISH_MILLIS)) {
+            after(LOOK_MILLIS, () -> share(link, since));
+            return;
+        }
+        if (older != null) {
+            older.close();
+        }
+        shared = true;
+        front.happened(new Event.Share());
+        after(TAKE_MILLIS, () -> {
+            if (link == newer && !letGo) {
+                link.close();
+                newerGone(link, "it took the ids and then said nothing");
+            }
+        });
+    }
+
+    /** The newer process died: this one serves as before, if it is not leaving itself. */
+    private void newerGone(Link link, String why) {
+        if (link != newer) {
+            return;
+        }
+        Say.warn("succession.newer_gone", "why", why, "shared", shared);
+        newer = null;
+        letGo = false;
+        if (!shared) {
+            return;
+        }
+        shared = false;
+        front.happened(new Event.OtherGone(NEWER));
+        front.happened(new Event.TakeBack());
+        if (!listening && !desk.leaving()) {
+            listen();
+            awaitSuccessor();
+        }
+    }
+
+    // ---- both
+
+    private void news(int who, News told) {
+        OtherNews news = States.news(told);
+        if (news != null) {
+            front.happened(new Event.FromOther(who, news));
+        }
+    }
+
+    private void changed(Marks marks) {
+        States.marks(marks).forEach((box, mark) -> front.happened(new Event.MarkChanged(box, mark)));
+        keep();
+    }
+
+    private void tell(Effect effect) {
+        if (effect instanceof Effect.ShareOut e) {
+            send(newer, Frame.newBuilder().setSharing(States.sharing(e.held())).build());
+        } else if (effect instanceof Effect.MarkChanged e) {
+            Frame frame = Frame.newBuilder().setMarks(States.marks(Map.of(e.box(), e.mark()), true)).build();
+            send(newer, frame);
+            send(older, frame);
+            keep();
+        } else if (effect instanceof Effect.TellOthers e) {
+            Frame frame = Frame.newBuilder().setNews(States.news(e.news())).build();
+            if (e.news() instanceof OtherNews.Claimed c) {
+                send(c.to() == OLDER ? older : newer, frame);
+            } else if (e.news() instanceof OtherNews.Told) {
+                send(newer, frame);
+                send(older, frame);
+            } else {
+                send(newer, frame);
+            }
+        }
+    }
+
+    private static void send(Link to, Frame frame) {
+        if (to != null) {
+            to.send(frame);
+        }
+    }
+
+    private void keep() {
+        if (marksFile == null) {
+            return;
+        }
+        try {
+            marksFile.write(new HashMap<>(desk.marks()));
+        } catch (IOException e) {
+            Say.warn("succession.marks_unwritten", "why", e.getMessage());
+        }
+    }
+}
--- a/src/main/java/yewdock/desk/Calls.java
+++ b/src/main/java/yewdock/desk/Calls.java
@@ -70,7 +70,7 @@
             answer(e, false, "no box of this id is known");
         } else {
             boxes.cordon(box);
-            changed.run();
+            changed(box);
             turn.log("cordoned " + box);
             answer(e, true, box + " gets nothing new");
         }
@@ -80,7 +80,7 @@
         String box = e.box();
         if (boxes.cordoned(box)) {
             boxes.uncordon(box);
-            changed.run();
+            changed(box);
             turn.log("uncordoned " + box);
             answer(e, true, box + " may serve again");
         } else if (boxes.named(box)) {
@@ -90,6 +90,11 @@
         }
     }
 
+    private void changed(String box) {
+        changed.run();
+        turn.effect(new Effect.MarkChanged(box, boxes.marks().get(box)));
+    }
+
     private void quiesce(Event.Called e) {
         if (!quiesced) {
             quiesced = true;
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -37,6 +37,7 @@
     private final Calls calls;
     private boolean leaving;
     private boolean lettingGo;
+    private boolean waits;
     /** What the list tells is told on, to be kept. */
     private boolean keeping;
     private long letGoUntil;
@@ -57,7 +58,7 @@
         this.tries = answers.tries();
         this.streams = new Streams(turn, lines, answers);
         this.calls = new Calls(turn, terms, counters, boxes, () -> answers.open() + others.claims(),
-                this::unready, this::changedHere);
+                () -> lettingGo ? "a newer process serves" : unready(), this::changedHere);
         turn.module(makeModule.apply(new Collector()));
     }
 
@@ -68,7 +69,7 @@
         for (Turn.Step step = turn.next(); step != null; step = turn.next()) {
             run(step);
         }
-        if (leaving && !stopped && answers.none() && turn.now() >= leaveAt) {
+        if (leaving && !stopped && answers.none() && !others.claiming() && turn.now() >= leaveAt) {
             stopped = true;
             turn.effect(new Effect.Stop());
         }
@@ -98,6 +99,9 @@
         if (calls.quiesced()) {
             return "quiesced";
         }
+        if (waits) {
+            return "an older process serves";
+        }
         return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
     }
 
@@ -125,6 +129,11 @@
         boxes.recallTold(earlier);
     }
 
+    /** All that operators have said of boxes, by their names. */
+    public Map<String, BoxMark> marks() {
+        return Map.copyOf(boxes.marks());
+    }
+
     /** What this generation holds that no other may double. */
     public Holdings holdings() {
         List<String> ids = answers.names();
@@ -192,6 +201,11 @@
             others.own();
         } else if (event instanceof Event.Marked e) {
             marked(e.marks());
+        } else if (event instanceof Event.MarkChanged e) {
+            boxes.mark(e.box(), e.mark());
+            changedHere();
+        } else if (event instanceof Event.Waits e) {
+            waits = e.waits();
         } else if (event instanceof Event.Keeping) {
             keeping = true;
         } else if (event instanceof Event.Called e) {
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -68,6 +68,10 @@
     record AnswerFigures(long caller, Figures figures) implements Effect {
     }
 
+    /** An operator has said something of a box: keep it, and tell this router's other processes. */
+    record MarkChanged(String box, BoxMark mark) implements Effect {
+    }
+
     /** Tell this router's other generations. */
     record TellOthers(OtherNews news) implements Effect {
     }
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -111,6 +111,14 @@
     record Called(long caller, Call call, String box) implements Event {
     }
 
+    /** Another process of this router was told something of a box, which holds here too. */
+    record MarkChanged(String box, BoxMark mark) implements Event {
+    }
+
+    /** An older process of this router serves, and this one waits to take over; or waits no more. */
+    record Waits(boolean waits) implements Event {
+    }
+
     /** The router is to leave. */
     record Leave() implements Event {
     }
--- a/src/main/java/yewdock/desk/KnownBoxes.java
+++ b/src/main/java/yewdock/desk/KnownBoxes.java
@@ -64,6 +64,12 @@
         marksChanged();
     }
 
+    /** Another process of this router was told this. */
+    void mark(String name, BoxMark mark) {
+        marks.put(name, mark);
+        marksChanged();
+    }
+
     /** An operator puts the box out of use. */
     void cordon(String name) {
         marks.put(name, BoxMark.DRAINS);
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -182,7 +182,8 @@
             List.copyOf(clients.values()).forEach(ClientSide::closeIfIdle);
         } else if (effect instanceof Effect.AnswerCall || effect instanceof Effect.AnswerFigures) {
             calls.accept(effect);
-        } else if (effect instanceof Effect.TellOthers || effect instanceof Effect.ShareOut) {
+        } else if (effect instanceof Effect.TellOthers || effect instanceof Effect.ShareOut
+                || effect instanceof Effect.MarkChanged) {
             others.accept(effect);
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.line());
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -137,6 +137,8 @@
      */
     public void listenBeside(String address) throws IOException {
         acceptor.shares = true;
+        // MINA would end every connection with the listener
+        acceptor.setCloseOnDeactivation(false);
         acceptor.bind(Addresses.of(address));
         Logger.info("listens on {}", acceptor.getLocalAddress());
     }
