The newer process is ready once the older has finished, at 5 s at the latest

The logs: 'leaving' 30 ms after 'lets_go open=20', and the older process's end 3.8 s later, at SIGKILL. Ruled out: requests ended at the door (0), the boxes' release (it lies between the two windows), claims unanswered (none counted). So streams longer than the time to SIGKILL died with the older process; answers run for up to 10 s here.

Who calls `health` and hears yes ends the older process, so the newer one says yes when the older has nothing left, or when it is 5 s old itself; a yes is due within 6 s. Both serve and /ready says yes meanwhile.

Rejected: passing clients' and boxes' connections on to the newer process. It would save what is still cut off, but needs calls that Java lacks, and half-read messages would have to move with them.

--- a/src/main/java/yewdock/daemon/Succession.java
+++ b/src/main/java/yewdock/daemon/Succession.java
@@ -55,6 +55,15 @@
     /** An older process that still finishes is waited for so long before a third may take over. */
     private static final long FINISH_MILLIS = 2_000;
     private static final long LOOK_MILLIS = 100;
+    /**
+     * The older process is ended once this one says that it is ready, which is due within 6 s: until this age
+     * it lets the older one finish its streams. Both serve meanwhile.
+     */
+    private static final long READY_MILLIS = 5_000;
+    /** Of the fields of a process's state behind its name, the one that tells its start. */
+    private static final int START_TICKS = 19;
+    private static final long MILLIS_A_TICK = 10;
+    private static final long UNKNOWN_AGE_MILLIS = 2_000;
     private static final long LET_GO_MICROS = 600_000_000L;
     private static final int MOST_PATH = 100;
 
@@ -203,11 +212,28 @@
         awaitSuccessor();
         front.happened(new Event.Waits(false));
         if (older != null) {
+            front.happened(new Event.Awaits(true));
+            after(Math.max(0, READY_MILLIS - age()), () -> front.happened(new Event.Awaits(false)));
             older.send(Frame.newBuilder().setLetGo(LetGo.newBuilder().setLimitMicros(LET_GO_MICROS)).build());
             Say.info("succession.took_over", "boxes", desk.holdings().boxes().boxes().size());
         }
     }
 
+    /**
+     * How long this process has been there, from the system's own counts since its boot: the start that Java
+     * tells is off by up to a second.
+     */
+    private static long age() {
+        try {
+            String stat = Files.readString(Path.of("/proc/self/stat"));
+            String[] behindName = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            double up = Double.parseDouble(Files.readString(Path.of("/proc/uptime")).split(" ")[0]);
+            return Math.round(up * 1000) - Long.parseLong(behindName[START_TICKS]) * MILLIS_A_TICK;
+        } catch (IOException | RuntimeException e) {
+            return UNKNOWN_AGE_MILLIS;
+        }
+    }
+
     private void listen() {
         try {
             sockets.listenBeside(config.listen());
@@ -244,6 +270,7 @@
         Say.info("succession.older_gone", "why", why);
         older = null;
         front.happened(new Event.OtherGone(OLDER));
+        front.happened(new Event.Awaits(false));
         takeOver();
     }
 
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -38,6 +38,8 @@
     private boolean leaving;
     private boolean lettingGo;
     private boolean waits;
+    /** An older process finishes; who is told that this one is ready ends it. */
+    private boolean awaits;
     /** What the list tells is told on, to be kept. */
     private boolean keeping;
     private long letGoUntil;
@@ -58,7 +60,8 @@
         this.tries = answers.tries();
         this.streams = new Streams(turn, lines, answers);
         this.calls = new Calls(turn, terms, counters, boxes, () -> answers.open() + others.claims(),
-                () -> lettingGo ? "a newer process serves" : unready(), this::changedHere);
+                () -> lettingGo ? "a newer process serves" : awaits ? "an older process finishes" : unready(),
+                this::changedHere);
         turn.module(makeModule.apply(new Collector()));
     }
 
@@ -206,6 +209,8 @@
             changedHere();
         } else if (event instanceof Event.Waits e) {
             waits = e.waits();
+        } else if (event instanceof Event.Awaits e) {
+            awaits = e.finishing();
         } else if (event instanceof Event.Keeping) {
             keeping = true;
         } else if (event instanceof Event.Called e) {
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -119,6 +119,10 @@
     record Waits(boolean waits) implements Event {
     }
 
+    /** This process serves, and an older one still finishes what it has; or it has finished. */
+    record Awaits(boolean finishing) implements Event {
+    }
+
     /** The router is to leave. */
     record Leave() implements Event {
     }
