Takeovers proven under load, at chosen faults; a process that has let go never listens again

Seen: the new proof stopped at its third process with 'succession.nobody why="Connection refused"' beside a living one. /proc/net/unix showed two new listeners at the same path, of the newer process and of the one that had let go. Ruled out: the file being deleted at an exit (another inode was there, with a listener). At fault: Succession.olderGone took over whenever this process did not listen, also after it had let go itself, when the process before it ended late. It takes over once now. Of the same kind: one that takes back listens at the port that it had, not at the configuration's, which may be 0.

The proof: second processes beside the first under load, boxes out of use and back, clients sent away and back, every fourth made to exit, die, hang or talk nonsense at a stage of taking over (FaultySuccession); judged by Rules from the stand-ins' records, operators' marks among them. `serve` moved from Main to daemon.Serve, so that a stand-in can be such a process; a process's log is read in one place.

Rejected: killing by watching the log, which kills at whatever stage comes next and loses connections that were taken.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo deployments-proof model-proof upgrade-proof upgrade-probe store-proof store-probe store-damage
+.PHONY: build test lint run demo deployments-proof replacement-proof model-proof upgrade-proof upgrade-probe store-proof store-probe store-damage
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -48,3 +48,7 @@
 # a store's file cut and flipped at every byte, some minutes
 store-damage:
 	mvn -B -ntp -q test -Dtest=StoreTest -Dstore.offsets=all -Dsurefire.failIfNoSpecifiedTests=false
+
+# fifty replacements of the process by one beside it, under load, a quarter made to fail: three minutes; not a part of CI
+replacement-proof: build
+	java -jar target/yewdock.jar replacement-proof
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -13,6 +13,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import yewdock.daemon.Keeper;
+import yewdock.daemon.Succession;
 import yewdock.daemon.Operator;
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
@@ -20,6 +21,7 @@
 import yewdock.proof.CopiesProof;
 import yewdock.proof.DeploymentsProof;
 import yewdock.proof.LiveProof;
+import yewdock.proof.ReplacementProof;
 import yewdock.proof.Router;
 import yewdock.proof.Rules;
 import yewdock.proof.StoreCost;
@@ -62,7 +64,7 @@
             subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
                 Demo.class, LoadTool.class, Proof.class, StoreCommands.Drain.class,
                 StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class,
-                StoreProofs.class, Deployments.class, ModelCommands.Models.class,
+                Replacements.class, StoreProofs.class, Deployments.class, ModelCommands.Models.class,
                 ModelCommands.Experiments.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
@@ -98,7 +100,7 @@
     static final class Serve implements Callable<Integer> {
         @Override
         public Integer call() {
-            return Main.serve(System.getenv("PROXY_CONFIG"));
+            return yewdock.daemon.Serve.run(System.getenv("PROXY_CONFIG"), Succession::new);
         }
     }
 
@@ -313,6 +315,25 @@
         }
     }
 
+    @Command(name = "replacement-proof", mixinStandardHelpOptions = true,
+            description = "A second process takes the place of the first under load, judged.")
+    static final class Replacements implements Callable<Integer> {
+        @Option(names = "--replacements", defaultValue = "50")
+        private int replacements;
+        @Option(names = "--rate", defaultValue = "150", description = "requests a second")
+        private double rate;
+        @Option(names = "--seed", defaultValue = "1")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            List<String> broken = new ReplacementProof(MAIN, replacements, rate, seed,
+                    System.out::println).run();
+            broken.stream().limit(40).forEach(System.out::println);
+            return broken.isEmpty() ? 0 : FAILED;
+        }
+    }
+
     @Command(name = "store-proof", mixinStandardHelpOptions = true,
             description = "Kills under load, judged; copies that are split and joined; what the store costs.")
     static final class StoreProofs implements Callable<Integer> {
--- a/src/main/java/yewdock/Main.java
+++ b/src/main/java/yewdock/Main.java
@@ -1,24 +1,9 @@
 package yewdock;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.Objects;
-import java.util.function.Consumer;
-import org.tinylog.Logger;
-import org.tinylog.provider.ProviderRegistry;
-import umberspread.BoundedLoadRouter;
 import yewdock.daemon.Generation;
+import yewdock.daemon.Serve;
 import yewdock.daemon.Succession;
-import yewdock.desk.Counters;
-import yewdock.desk.Desk;
-import yewdock.desk.Terms;
-import yewdock.door.Door;
 import yewdock.log.Say;
-import yewdock.platform.Config;
-import yewdock.platform.Front;
-import yewdock.sockets.Signals;
-import yewdock.sockets.Sockets;
 
 /**
  * The command line: {@code serve} is the router, {@code adapter} its decisions on the simulator's wire, and
@@ -34,7 +19,7 @@
         switch (command) {
             // these start often and on little memory: they don't load the library that reads command lines
             case "adapter" -> umberspread.adapter.Main.main(args);
-            case "serve" -> System.exit(serve(System.getenv("PROXY_CONFIG")));
+            case "serve" -> System.exit(Serve.run(System.getenv("PROXY_CONFIG"), Succession::new));
             case "generation" -> {
                 Say.prepare();
                 Say.as("json".equals(System.getenv("YEWDOCK_LOG")) ? Say.Form.JSON : Say.Form.TEXT);
@@ -46,85 +31,4 @@
             }
         }
     }
-
-    static int serve(String file) {
-        Consumer<String> log = line -> Logger.info("{}", line);
-        Config config;
-        try {
-            config = read(file, log);
-        } catch (IOException | IllegalArgumentException e) {
-            Logger.error("the configuration can't be read: {}", e.toString());
-            return 1;
-        }
-        String operator = config.operator().isEmpty()
-                ? Objects.requireNonNullElse(System.getenv("PROXY_OPERATOR"), "") : config.operator();
-        Counters counters = new Counters();
-        // only a router with a door for operators is replaced by a process beside it
-        Succession succession = operator.isEmpty() ? null
-                : new Succession(Objects.requireNonNullElse(System.getenv("TMPDIR"), ""), config);
-        if (succession != null) {
-            succession.find();
-        }
-        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
-                actions -> succession == null
-                        ? new BoundedLoadRouter(config.settings(), config.seed(), actions)
-                        : succession.router(actions));
-        Sockets sockets = new Sockets(config.bounds().clients());
-        Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
-        // The JVM ends when its hooks have: this one holds it until nothing is owed.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            sockets.leave();
-            Logger.info("counters at exit:\n{}", counters);
-            shutLogger();
-        }, "leave"));
-        // One after the other: of two SIGHUPs, the later one's file must come out on top.
-        Object turn = new Object();
-        boolean taken = Signals.onHangUp(() -> {
-            synchronized (turn) {
-                try {
-                    sockets.reconfigure(read(file, log));
-                } catch (IOException | IllegalArgumentException e) {
-                    Logger.warn("the new configuration can't be read, the old one stays: {}", e.toString());
-                }
-            }
-        });
-        if (!taken) {
-            Logger.warn("SIGHUP can't be taken here: a new configuration needs a restart");
-        }
-        try {
-            if (succession != null) {
-                Door door = new Door(front);
-                sockets.listenAlso(operator, Door.MOST_ACCEPTED, Door.PATIENCE_SECONDS, door::accept);
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            Logger.error("can't listen for operators on {}: {}", operator, e.getMessage());
-            Runtime.getRuntime().halt(1);
-        }
-        try {
-            if (succession == null) {
-                sockets.serve(config.listen(), front, desk);
-            } else {
-                succession.serve(sockets, front, desk);
-            }
-        } catch (IOException e) {
-            Logger.error("can't listen on {}: {}", config.listen(), e.getMessage());
-            Runtime.getRuntime().halt(1);
-        }
-        return 0;
-    }
-
-    private static Config read(String file, Consumer<String> log) throws IOException {
-        if (file == null) {
-            throw new IllegalArgumentException("PROXY_CONFIG is not set");
-        }
-        return Config.read(Files.readString(Path.of(file)), log);
-    }
-
-    private static void shutLogger() {
-        try {
-            ProviderRegistry.getLoggingProvider().shutdown();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -100,12 +100,17 @@
     /** Marks for another process; changes: those of other boxes hold as they did. */
     static Marks marks(Map<String, BoxMark> marks, boolean changes) {
         Marks.Builder all = Marks.newBuilder().setChanges(changes);
-        marks.forEach((box, mark) -> all.putByBox(box, Mark.newBuilder().setKind(switch (mark.kind()) {
+        marks.forEach((box, mark) -> all.putByBox(box,
+                Mark.newBuilder().setKind(kind(mark)).setStartedAt(mark.at()).build()));
+        return all.build();
+    }
+
+    private static Mark.Kind kind(BoxMark mark) {
+        return switch (mark.kind()) {
             case DRAINS -> Mark.Kind.DRAIN;
             case GONE -> Mark.Kind.GONE;
             case BACK -> Mark.Kind.BACK;
-        }).setStartedAt(mark.at()).build()));
-        return all.build();
+        };
     }
 
     /** What the module has learnt, for the keeper to keep. */
--- a/src/main/java/yewdock/daemon/Succession.java
+++ b/src/main/java/yewdock/daemon/Succession.java
@@ -27,6 +27,7 @@
 import yewdock.platform.Front;
 import yewdock.sockets.Clock;
 import yewdock.sockets.Sockets;
+import yewdock.upgrade.Stage;
 import yewdock.wire.Frame;
 import yewdock.wire.GiveState;
 import yewdock.wire.Hello;
@@ -44,7 +45,7 @@
  * <p>With nobody there, or with one that doesn't answer, the newer one serves by itself; it is never kept
  * from serving by what it finds in the folder. All but the finding happens on the desk's thread.
  */
-public final class Succession {
+public class Succession {
     private static final int OLDER = 1;
     private static final int NEWER = 2;
     /** An older process that is asked for its state, and then for what it has out, answers so soon. */
@@ -83,6 +84,9 @@
     private ServerSocketChannel door;
     /** Written on the desk's thread only. */
     private Link newer;
+    /** Where clients come; they come back to the same port. */
+    private String address;
+    private boolean tookOver;
     private boolean listening;
     private boolean shared;
     private boolean letGo;
@@ -90,15 +94,27 @@
     /** The router of this configuration, whose processes have this folder; "" if they have none. */
     public Succession(String folder, Config config) {
         this.config = config;
+        this.address = config.listen();
         Path base = folder.isEmpty() ? null : Path.of(folder).toAbsolutePath()
                 .resolve("yewdock-" + config.name().replaceAll("[^A-Za-z0-9_-]", "_"));
-        this.marksFile = base == null ? null : new MarksFile(base.resolveSibling(base.getFileName() + ".marks"));
+        this.marksFile = base == null ? null
+                : new MarksFile(base.resolveSibling(base.getFileName() + ".marks"));
         this.socket = base == null || base.toString().length() > MOST_PATH ? null
                 : base.resolveSibling(base.getFileName() + ".sock");
     }
 
+    /** Called as each stage of taking over is reached; stand-ins make it fail. */
+    protected void reached(Stage stage) {
+        // nothing fails here
+    }
+
+    /** The connection to the older process; null if there is none. */
+    protected final Link older() {
+        return older;
+    }
+
     /** Looks for an older process and takes its state; any thread may call it, once, before all else. */
-    public void find() {
+    public final void find() {
         if (socket == null || !Files.exists(socket)) {
             return;
         }
@@ -108,6 +124,7 @@
             Say.info("succession.nobody", "why", e.getMessage());
             return;
         }
+        reached(Stage.CHECK);
         older.start("older", this::heardOfOlder, why -> {
             state.complete(State.getDefaultInstance());
             later(() -> olderGone(why));
@@ -118,6 +135,7 @@
         try {
             left = States.read(state.get(STATE_MILLIS, TimeUnit.MILLISECONDS), new Clock().getAsLong(),
                     System.nanoTime());
+            reached(Stage.STATE);
         } catch (TimeoutException | ExecutionException | UnreadableStateException e) {
             Say.warn("succession.no_state", "why", e.toString(), "now", "going on without");
         } catch (InterruptedException e) {
@@ -126,15 +144,16 @@
     }
 
     /** The module, with what the older process has learnt. */
-    public Routing.Events router(Routing.Actions actions) {
+    public final Routing.Events router(Routing.Actions actions) {
         router = left == null || left.memory() == null
                 ? new GenerationRouter(config.settings(), config.seed(), actions)
-                : new GenerationRouter(config.settings(), config.seed(), actions, left.memory(), left.shift());
+                : new GenerationRouter(config.settings(), config.seed(), actions, left.memory(),
+                        left.shift());
         return router;
     }
 
     /** Serves until told to stop. */
-    public void serve(Sockets on, Front by, Desk of) {
+    public final void serve(Sockets on, Front by, Desk of) {
         synchronized (this) {
             sockets = on;
             early.forEach(on::post);
@@ -185,9 +204,10 @@
             return;
         }
         front.happened(new Event.Waits(true));
+        reached(Stage.READY);
         older.send(Frame.newBuilder().setShare(Share.getDefaultInstance()).build());
         after(SHARE_MILLIS, () -> {
-            if (!listening) {
+            if (!tookOver) {
                 Say.warn("succession.silent", "now", "taking over all the same");
                 takeOver();
             }
@@ -205,9 +225,11 @@
 
     /** Listens, and only then is ready; the older process lets go once this one takes connections. */
     private void takeOver() {
-        if (listening) {
+        if (tookOver) {
             return;
         }
+        // once: the older process may end when this one has let go itself
+        tookOver = true;
         listen();
         awaitSuccessor();
         front.happened(new Event.Waits(false));
@@ -236,10 +258,10 @@
 
     private void listen() {
         try {
-            sockets.listenBeside(config.listen());
+            address = sockets.listenBeside(address);
             listening = true;
         } catch (IOException e) {
-            Say.warn("succession.no_listener", "address", config.listen(), "why", e.getMessage());
+            Say.warn("succession.no_listener", "address", address, "why", e.getMessage());
             Runtime.getRuntime().halt(1);
         }
     }
@@ -257,6 +279,7 @@
     private void fromOlder(Frame frame) {
         switch (frame.getWhatCase()) {
             case SHARING -> {
+                reached(Stage.SHARE);
                 front.happened(new Event.Adopt(OLDER, States.holdings(frame.getSharing())));
                 takeOver();
             }
--- a/src/main/java/yewdock/proof/Router.java
+++ b/src/main/java/yewdock/proof/Router.java
@@ -1,6 +1,5 @@
 package yewdock.proof;
 
-import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,12 +20,13 @@
 
     private final Path folder;
     private final Process process;
-    private final List<String> log = new ArrayList<>();
+    private final ProcessLog log;
     private final CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
 
     private Router(Path folder, Process process) {
         this.folder = folder;
         this.process = process;
+        this.log = new ProcessLog(process, this::listens);
     }
 
     /**
@@ -61,66 +61,24 @@
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx32m", "-cp",
                 System.getProperty("java.class.path"), main, "daemon", "--settings",
                 operator.toString()).redirectErrorStream(true).start();
-        Router router = new Router(folder, process);
-        Thread reader = new Thread(router::readLog, "daemon log");
-        reader.setDaemon(true);
-        reader.start();
-        return router;
+        return new Router(folder, process);
     }
 
-    private void readLog() {
-        try (BufferedReader lines = process.inputReader()) {
-            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                synchronized (log) {
-                    log.add(line);
-                    log.notifyAll();
-                }
-                int at = line.indexOf("keeper.listens address=/");
-                if (at >= 0) {
-                    String where = line.substring(at + 24).split(" ")[0];
-                    int colon = where.lastIndexOf(':');
-                    address.complete(new InetSocketAddress(where.substring(0, colon),
-                            Integer.parseInt(where.substring(colon + 1))));
-                }
-            }
-        } catch (IOException e) {
-            // the process has ended
-        }
-        synchronized (log) {
-            log.notifyAll();
+    private void listens(String line) {
+        int at = line.indexOf("keeper.listens address=/");
+        if (at >= 0) {
+            address.complete(ProcessLog.address(line.substring(at + 24).split(" ")[0]));
         }
     }
 
     /** Waits for a line of the log, also one that has come before; null if the daemon ends without it. */
     public String await(Predicate<String> wanted) {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS);
-        synchronized (log) {
-            int seen = 0;
-            while (true) {
-                for (; seen < log.size(); seen++) {
-                    if (wanted.test(log.get(seen))) {
-                        return log.get(seen);
-                    }
-                }
-                long left = (end - System.nanoTime()) / 1_000_000;
-                if (left <= 0 || !process.isAlive() && seen == log.size()) {
-                    return null;
-                }
-                try {
-                    log.wait(Math.min(left, 100));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                    return null;
-                }
-            }
-        }
+        return log.await(wanted, ANSWER_MILLIS);
     }
 
     /** All lines so far. */
     public String log() {
-        synchronized (log) {
-            return String.join("\n", log);
-        }
+        return log.text();
     }
 
     public InetSocketAddress address() {
--- a/src/main/java/yewdock/proof/Rules.java
+++ b/src/main/java/yewdock/proof/Rules.java
@@ -40,7 +40,19 @@
         ledger.atClients().stream().filter(a -> a.end() == End.SERVED && !a.exact()).forEach(a ->
                 broken.add("request " + a.id() + ": its stream is not the reference"));
         drains(ledger.atBoxes(), ledger.told(), broken);
-        for (AtBox a : ledger.atBoxes()) {
+        marks(ledger.atBoxes(), marks, broken);
+        return broken;
+    }
+
+    /** All that a run broke in which operators took boxes out of use. */
+    public static List<String> broken(Ledger ledger, List<Marked> marks) {
+        List<String> broken = broken(ledger);
+        marks(ledger.atBoxes(), marks, broken);
+        return broken;
+    }
+
+    private static void marks(List<AtBox> all, List<Marked> marks, List<String> broken) {
+        for (AtBox a : all) {
             for (Marked m : marks) {
                 if (m.box().equals(a.box()) && a.began() > m.acknowledged() + DRAIN_GRACE
                         && a.began() < m.takenBack()) {
@@ -50,7 +62,6 @@
                 }
             }
         }
-        return broken;
     }
 
     /** An operator's drain: when it was acknowledged, and when it was asked to be taken back, nanoseconds. */
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -133,14 +133,16 @@
 
     /**
      * Listens for clients beside another process that does, where both share the address. Called on the
-     * desk's thread.
+     * desk's thread; returns the address, which a port of 0 has been replaced in.
      */
-    public void listenBeside(String address) throws IOException {
+    public String listenBeside(String address) throws IOException {
         acceptor.shares = true;
         // MINA would end every connection with the listener
         acceptor.setCloseOnDeactivation(false);
         acceptor.bind(Addresses.of(address));
         Logger.info("listens on {}", acceptor.getLocalAddress());
+        return acceptor.getLocalAddress().getAddress().getHostAddress() + ':'
+                + acceptor.getLocalAddress().getPort();
     }
 
     /**
--- /dev/null
+++ b/src/main/java/yewdock/standin/FaultySuccession.java
@@ -0,0 +1,32 @@
+package yewdock.standin;
+
+import yewdock.daemon.Serve;
+import yewdock.daemon.Succession;
+import yewdock.platform.Config;
+import yewdock.standin.FaultyGeneration.Fault;
+import yewdock.upgrade.Stage;
+
+/** A router's second process that fails on purpose as it reaches a stage of taking over. */
+public final class FaultySuccession extends Succession {
+    private final Stage at;
+    private final Fault fault;
+
+    private FaultySuccession(String folder, Config config, Stage at, Fault fault) {
+        super(folder, config);
+        this.at = at;
+        this.fault = fault;
+    }
+
+    /** Runs it; the words are the stage and the fault. */
+    public static void main(String[] args) {
+        System.exit(Serve.run(System.getenv("PROXY_CONFIG"), (folder, config) -> new FaultySuccession(folder,
+                config, Stage.valueOf(args[0]), Fault.valueOf(args[1]))));
+    }
+
+    @Override
+    protected void reached(Stage stage) {
+        if (stage == at) {
+            Faults.happen(fault, older());
+        }
+    }
+}
--- a/src/main/java/yewdock/standin/Fleet.java
+++ b/src/main/java/yewdock/standin/Fleet.java
@@ -52,6 +52,11 @@
                 + "\"sockets\":1024},\"settings\":" + SETTINGS + "}";
     }
 
+    /** The same with a door for operators, on a free port. */
+    public String withDoor(String listen) {
+        return configuration(listen).replace("\"discovery\"", "\"operator\":\"127.0.0.1:0\",\"discovery\"");
+    }
+
     @Override
     public void close() {
         list.close();
