A router leaves its own zone while first tokens come sooner elsewhere

First tokens by box, 40 routers: two zones at a median of 300 to 1600 ms with most of the time-outs, the other two at 70 to 250 ms. At fault: BoundedLoadRouter.pick stays in its own zone however long that one takes. Now first tokens' delays at home and elsewhere are averaged, and the whole ring is walked while home takes over a third of the aim and longer than elsewhere. Rejected: no own zone first at all, which pays for every crossing. Also: where boxes are known and none takes work, a request is refused at once.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -78,6 +78,8 @@
     private static final double CHEAP_READ = 0.1;
     /** The fastest reading seen is forgotten at this pace, in case the fleet has changed. */
     private static final double READ_RATE_FADE = 0.999;
+    /** Weight of one first token's delay, in parts of its aim: about the last ten of its side count. */
+    private static final double DELAY_WEIGHT = 0.1;
     /** So much above the running average of worth is more than average: equal worth is not. */
     private static final double ABOVE = 1.05;
     /** Weight of one request in the running average of worth: about the last hundred count. */
@@ -105,8 +107,6 @@
     /** What is added to a count that a sum of fractions must reach. */
     private static final double ROUNDING = 1e-9;
     private static final int DISCOVERY_TOKEN = 0;
-    private static final long RING_SALT = 0x9e3779b97f4a7c15L;
-    private static final long COLD_SALT = 0xd1b54a32d192ed03L;
 
     final Settings settings;
     private final Routing.Tuning tuning;
@@ -136,6 +136,7 @@
     private final long patience;
     private final long planEvery;
     double averageWorth;
+    private final double[] delay = new double[2];
     double sendTally;
     double readRate;
     double unitWeight;
@@ -287,7 +288,7 @@
     /** A router for one gateway; equal seeds and events give equal actions. */
     public BoundedLoadRouter(Settings settings, long seed, Routing.Actions actions) {
         this(settings, seed, actions,
-                new Routing.Tuning(LOAD_FACTOR, VIRTUAL_POINTS, BoundedLoadRouter::mix, false));
+                new Routing.Tuning(LOAD_FACTOR, VIRTUAL_POINTS, Mixing::mix, false));
     }
 
     /** The same with other values of what the design leaves open. */
@@ -434,7 +435,7 @@
         Map<Long, Node> byPoint = new HashMap<>();
         for (Node n : members) {
             for (int i = 0; i < n.points; i++) {
-                long point = hash(hash(n.replica.id() ^ RING_SALT) + i);
+                long point = hash(hash(n.replica.id() ^ Mixing.RING_SALT) + i);
                 Node other = byPoint.get(point);
                 if (other == null || other.replica.id() > n.replica.id()) {
                     byPoint.put(point, n);
@@ -515,10 +516,10 @@
         }
         Hot h = hot.get(p.key);
         int wanted = h == null ? 1 : h.spread;
-        long session = mix(p.sessionOrId() ^ p.key);
+        long session = Mixing.mix(p.sessionOrId() ^ p.key);
         long place = hash(p.key);
         if (wanted > MOST_WALKED) {
-            place = hash(p.key ^ mix(session & wanted / MOST_WALKED - 1));
+            place = hash(p.key ^ Mixing.mix(session & wanted / MOST_WALKED - 1));
             wanted = MOST_WALKED;
         }
         boolean bounded = cheapToRead(p);
@@ -529,9 +530,11 @@
         int seen = 0;
         int found = 0;
         Pool pool = p.pool;
-        for (int i = pool.start(place); seen < pool.homeReady && found < wanted; i = pool.next(i)) {
+        boolean home = pool.ownZoneFirst && !homeJams();
+        int reach = home ? pool.homeReady : pool.ready;
+        for (int i = pool.start(place); seen < reach && found < wanted; i = pool.next(i)) {
             Node n = pool.owners[i];
-            if (n.visited == visit || pool.ownZoneFirst && n.replica.zone() != settings.zone()) {
+            if (n.visited == visit || home && n.replica.zone() != settings.zone()) {
                 continue;
             }
             n.visited = visit;
@@ -548,7 +551,7 @@
             if (free && slow(p, n, now)) {
                 continue;
             }
-            double score = -warmth(n, now) * speed(n) / Math.log(unit(mix(session ^ n.replica.id())));
+            double score = -warmth(n, now) * speed(n) / Math.log(Mixing.unit(session ^ n.replica.id()));
             if (best == null || score > bestScore) {
                 best = n;
                 bestScore = score;
@@ -571,8 +574,8 @@
     private boolean overBound(Pending p, Node n, long now) {
         double average = (p.pool.inFlight + 1) * weight(n) * warmth(n, now) / p.pool.capacity;
         double fair = average * (tuning.loadFactor() / 100.0);
-        return n.load + 1 > (tuning.byChance() ? Math.floor(fair + unit(mix(p.request.id() ^ n.replica.id())))
-                : Math.ceil(fair));
+        return n.load + 1 > (tuning.byChance()
+                ? Math.floor(fair + Mixing.unit(p.request.id() ^ n.replica.id())) : Math.ceil(fair));
     }
 
     /**
@@ -691,6 +694,16 @@
         return 1 / kindTime.getOrDefault(n.replica.kind(), 1.0);
     }
 
+    /** Against a zone that jams while others stand free: how long first tokens take there and elsewhere. */
+    private void learnDelay(Pending p, Attempt a, long now) {
+        int where = a.node.replica.zone() == settings.zone() ? 0 : 1;
+        delay[where] += ((double) (now - a.sentAt) / aim(p) - delay[where]) * DELAY_WEIGHT;
+    }
+
+    private boolean homeJams() {
+        return delay[0] * BEARABLE_PART > 1 && delay[0] > delay[1];
+    }
+
     /** The fastest reading of prompts seen of late, in tokens a microsecond. */
     private void learnReadRate(Pending p, Attempt a, long keptTokens) {
         double unread = p.request.promptTokens() - keptTokens;
@@ -738,7 +751,7 @@
      */
     private boolean warmEnough(long key, Node n, long now) {
         double share = warmth(n, now);
-        return share >= 1 || unit(mix(key ^ mix(n.replica.id() ^ COLD_SALT))) < share;
+        return share >= 1 || Mixing.unit(key ^ Mixing.mix(n.replica.id() ^ Mixing.COLD_SALT)) < share;
     }
 
     /**
@@ -845,7 +858,7 @@
         }
         if (n != null) {
             send(p, n, now);
-        } else if (p.attempts.isEmpty() && now < holdUntil(p)) {
+        } else if (p.attempts.isEmpty() && now < holdUntil(p) && (nodes.isEmpty() || p.pool.ready > 0)) {
             hold(p, now);
         } else if (!p.anyOut()) {
             giveFinalAnswer(p);
@@ -894,6 +907,7 @@
         }
         Attempt a = p.attempts.get(attempt);
         a.firstTokenAfter = now - a.sentAt;
+        learnDelay(p, a, now);
         p.begun = true;
         a.node.spokeAt = now;
         a.node.breaks = 0;
@@ -987,6 +1001,9 @@
                 && a.node.spokeAt < a.sentAt && roomy(p, now);
         notOverdue(a, now);
         judge(a.node, silence ? Outcome.RESET : outcome, now);
+        if (outcome == Outcome.TIMEOUT) {
+            learnDelay(p, a, now);
+        }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
             strike(p, a.node, now);
         } else if (outcome == Outcome.OK) {
@@ -1080,9 +1097,8 @@
     private void logEjection(Node n, Outcome outcome, long now) {
         if (now >= nextLogAt) {
             nextLogAt = now + LOG_EVERY;
-            long trial = (n.ejectedUntil - now) / 1000;
-            actions.log("ejected replica " + n.replica.id() + " after " + outcome
-                    + ", trial in " + trial + " ms");
+            actions.log("ejected replica " + n.replica.id() + " after " + outcome + ", trial in "
+                    + (n.ejectedUntil - now) / 1000 + " ms");
         }
     }
 
@@ -1238,15 +1254,4 @@
         return tuning.hash().applyAsLong(x);
     }
 
-    /** The finaliser of SplitMix64: every bit of the input moves every bit of the result. */
-    private static long mix(long x) {
-        long z = x + RING_SALT;
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return z ^ z >>> 31;
-    }
-
-    private static double unit(long hash) {
-        return (hash >>> 11) * 0x1.0p-53;
-    }
 }
