One piece where the takeover had written a twin: timers, configuration, links, keep-off, hash

Reading the change again found these written twice, and one state kept in two flags. Behaviour is as before.

- Link.to calls Link.at; Generation reads its configuration and makes its module by the calls that serve uses (Serve.read, Generation.router).
- Work on the desk's thread after a while is Sockets.postAfter, for the list's patience and for the takeover's times.
- Which replicas are kept off is Node.keptOff, for the decision and for the figure alike.
- The textbook policies hash with Mixing; their copy of it goes.
- What an older process does is one value (Older) in place of two flags and two events; Desk.ready, which nobody called any more, goes; KnownBoxes.cordon sets a mark as others do; the proofs print what they found in one place.
- The replacement proof closes all processes it started, also when it stops early: one was found left behind.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -213,6 +213,11 @@
             this.replica = replica;
             this.points = points;
         }
+
+        /** Ejected, or with the one request out that is its trial. */
+        boolean keptOff(long now) {
+            return ejectedUntil > now || onTrial && ejections > 0;
+        }
     }
 
     /** One attempt of a request. */
@@ -738,10 +743,8 @@
                 return false;
             }
         }
-        boolean ejectedOrTried = n.ejectedUntil > now || n.onTrial && n.ejections > 0;
-        boolean resting = n.restUntil[p.request.requestClass()] > now;
-        return !ejectedOrTried && !resting && mayRepeatAt(p, n, now) && warmEnough(p.key, n, now)
-                && inColdBudget(n, now);
+        return !n.keptOff(now) && n.restUntil[p.request.requestClass()] <= now && mayRepeatAt(p, n, now)
+                && warmEnough(p.key, n, now) && inColdBudget(n, now);
     }
 
     /**
--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -144,7 +144,7 @@
     public Set<Long> avoided(long now) {
         Set<Long> avoided = new HashSet<>();
         for (Node n : router.nodes.values()) {
-            if (n.ejectedUntil > now || n.onTrial && n.ejections > 0) {
+            if (n.keptOff(now)) {
                 avoided.add(n.replica.id());
             }
         }
--- a/src/main/java/umberspread/Mixing.java
+++ b/src/main/java/umberspread/Mixing.java
@@ -1,7 +1,7 @@
 package umberspread;
 
 /** Numbers that look drawn and are the same wherever they are computed. */
-final class Mixing {
+public final class Mixing {
     /** Sets the points of replicas apart from the keys of requests. */
     static final long RING_SALT = 0x9e3779b97f4a7c15L;
     /** Sets the keys that a cold replica takes apart from all else that is made of keys. */
@@ -11,7 +11,7 @@
     }
 
     /** The finaliser of SplitMix64: every bit of the input moves every bit of the result. */
-    static long mix(long x) {
+    public static long mix(long x) {
         long z = x + RING_SALT;
         z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
         z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
@@ -19,7 +19,7 @@
     }
 
     /** A number from 0 up to 1, and never 1. */
-    static double unit(long x) {
+    public static double unit(long x) {
         return (mix(x) >>> 11) * 0x1.0p-53;
     }
 }
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -13,8 +13,8 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import yewdock.daemon.Keeper;
-import yewdock.daemon.Succession;
 import yewdock.daemon.Operator;
+import yewdock.daemon.Succession;
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
 import yewdock.platform.Deployment;
@@ -295,6 +295,12 @@
         }
     }
 
+    /** Prints the first of what a proof found; returns its exit code. */
+    private static int judged(List<String> broken) {
+        broken.stream().limit(40).forEach(System.out::println);
+        return broken.isEmpty() ? 0 : FAILED;
+    }
+
     @Command(name = "proof", mixinStandardHelpOptions = true, description = "Upgrades under load, judged.")
     static final class Proof implements Callable<Integer> {
         @Option(names = "--upgrades", defaultValue = "50")
@@ -310,8 +316,7 @@
         public Integer call() throws Exception {
             List<String> broken = new UpgradeProof(MAIN, upgrades, connections, rate, seed,
                     System.out::println).run();
-            broken.stream().limit(40).forEach(System.out::println);
-            return broken.isEmpty() ? 0 : FAILED;
+            return judged(broken);
         }
     }
 
@@ -329,8 +334,7 @@
         public Integer call() throws Exception {
             List<String> broken = new ReplacementProof(MAIN, replacements, rate, seed,
                     System.out::println).run();
-            broken.stream().limit(40).forEach(System.out::println);
-            return broken.isEmpty() ? 0 : FAILED;
+            return judged(broken);
         }
     }
 
@@ -363,8 +367,7 @@
                 broken.addAll(new StoreCost(MAIN, setups, rounds, costSeconds, seed,
                         System.out::println).run());
             }
-            broken.stream().limit(40).forEach(System.out::println);
-            return broken.isEmpty() ? 0 : FAILED;
+            return judged(broken);
         }
     }
 
@@ -377,8 +380,7 @@
         @Override
         public Integer call() {
             List<String> wrong = new DeploymentsProof(System.out::println).run(seeds);
-            wrong.stream().limit(40).forEach(System.out::println);
-            return wrong.isEmpty() ? 0 : FAILED;
+            return judged(wrong);
         }
     }
 }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -4,13 +4,13 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import umberspread.GenerationRouter;
+import umberspread.Routing;
 import yewdock.desk.BoxList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
@@ -148,10 +148,7 @@
     }
 
     private Config read() throws IOException {
-        if (file == null) {
-            throw new IllegalArgumentException("PROXY_CONFIG is not set");
-        }
-        return Config.read(Files.readString(Path.of(file)), this::log);
+        return Serve.read(file, this::log);
     }
 
     private void log(String line) {
@@ -187,10 +184,7 @@
         countedBefore = counters.all();
         desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(),
                 counters, actions -> {
-                    router = left == null || left.memory() == null
-                            ? new GenerationRouter(config.settings(), seed(), actions)
-                            : new GenerationRouter(config.settings(), seed(), actions, left.memory(),
-                                    left.shift());
+                    router = router(config, seed(), actions, left);
                     return router;
                 });
         sockets = new Sockets(config.bounds().clients());
@@ -244,21 +238,19 @@
         if (keeping && (left == null || left.afterRestart())) {
             // a drain told in the last moment before a kill is in no record: the list knows it
             whenListed = ready;
-            Thread patience = new Thread(() -> {
-                try {
-                    Thread.sleep(LIST_PATIENCE_MILLIS);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-                sockets.post(this::listed);
-            }, "list patience");
-            patience.setDaemon(true);
-            patience.start();
+            sockets.postAfter(LIST_PATIENCE_MILLIS, this::listed);
         } else {
             ready.run();
         }
     }
 
+    /** The module, with what another process has learnt, if there is such. */
+    static GenerationRouter router(Config config, long seed, Routing.Actions actions, States.Left left) {
+        return left == null || left.memory() == null
+                ? new GenerationRouter(config.settings(), seed, actions)
+                : new GenerationRouter(config.settings(), seed, actions, left.memory(), left.shift());
+    }
+
     /** The first event of a process that goes on with what another left it, if there is such. */
     static void begin(Front front, Desk desk, Config config, States.Left left) {
         boolean sameList = left != null && left.listAddress().equals(config.discovery());
--- a/src/main/java/yewdock/daemon/Link.java
+++ b/src/main/java/yewdock/daemon/Link.java
@@ -19,14 +19,11 @@
 
     /** Connects to the control socket in this folder. */
     public static Link to(Path control) throws IOException {
-        SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX);
         try {
-            channel.connect(UnixDomainSocketAddress.of(socketIn(control)));
+            return at(socketIn(control));
         } catch (IOException e) {
-            channel.close();
             throw new IOException("no daemon answers at " + socketIn(control) + ": " + e.getMessage(), e);
         }
-        return new Link(channel);
     }
 
     /** Connects to the socket at this path; throws IOException where nobody listens. */
--- a/src/main/java/yewdock/daemon/Serve.java
+++ b/src/main/java/yewdock/daemon/Serve.java
@@ -94,7 +94,8 @@
         return 0;
     }
 
-    private static Config read(String file, Consumer<String> log) throws IOException {
+    /** The configuration in this file; null where none was named. */
+    static Config read(String file, Consumer<String> log) throws IOException {
         if (file == null) {
             throw new IllegalArgumentException("PROXY_CONFIG is not set");
         }
--- a/src/main/java/yewdock/daemon/Succession.java
+++ b/src/main/java/yewdock/daemon/Succession.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +20,7 @@
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
+import yewdock.desk.Older;
 import yewdock.desk.OtherNews;
 import yewdock.log.Say;
 import yewdock.platform.Config;
@@ -145,10 +145,7 @@
 
     /** The module, with what the older process has learnt. */
     public final Routing.Events router(Routing.Actions actions) {
-        router = left == null || left.memory() == null
-                ? new GenerationRouter(config.settings(), config.seed(), actions)
-                : new GenerationRouter(config.settings(), config.seed(), actions, left.memory(),
-                        left.shift());
+        router = Generation.router(config, config.seed(), actions, left);
         return router;
     }
 
@@ -177,19 +174,6 @@
         }
     }
 
-    private void after(long millis, Runnable work) {
-        Thread timer = new Thread(() -> {
-            try {
-                Thread.sleep(millis);
-                later(work);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "succession");
-        timer.setDaemon(true);
-        timer.start();
-    }
-
     // ---- the newer process
 
     private void begin() {
@@ -203,10 +187,10 @@
             takeOver();
             return;
         }
-        front.happened(new Event.Waits(true));
+        front.happened(new Event.Beside(Older.SERVES));
         reached(Stage.READY);
         older.send(Frame.newBuilder().setShare(Share.getDefaultInstance()).build());
-        after(SHARE_MILLIS, () -> {
+        sockets.postAfter(SHARE_MILLIS, () -> {
             if (!tookOver) {
                 Say.warn("succession.silent", "now", "taking over all the same");
                 takeOver();
@@ -232,10 +216,10 @@
         tookOver = true;
         listen();
         awaitSuccessor();
-        front.happened(new Event.Waits(false));
+        front.happened(new Event.Beside(older == null ? Older.NONE : Older.FINISHES));
         if (older != null) {
-            front.happened(new Event.Awaits(true));
-            after(Math.max(0, READY_MILLIS - age()), () -> front.happened(new Event.Awaits(false)));
+            sockets.postAfter(Math.max(0, READY_MILLIS - age()),
+                    () -> front.happened(new Event.Beside(Older.NONE)));
             older.send(Frame.newBuilder().setLetGo(LetGo.newBuilder().setLimitMicros(LET_GO_MICROS)).build());
             Say.info("succession.took_over", "boxes", desk.holdings().boxes().boxes().size());
         }
@@ -293,7 +277,7 @@
         Say.info("succession.older_gone", "why", why);
         older = null;
         front.happened(new Event.OtherGone(OLDER));
-        front.happened(new Event.Awaits(false));
+        front.happened(new Event.Beside(Older.NONE));
         takeOver();
     }
 
@@ -384,7 +368,7 @@
             return;
         }
         if (older != null && System.nanoTime() - since < TimeUnit.MILLISECONDS.toNanos(FINISH_MILLIS)) {
-            after(LOOK_MILLIS, () -> share(link, since));
+            sockets.postAfter(LOOK_MILLIS, () -> share(link, since));
             return;
         }
         if (older != null) {
@@ -392,7 +376,7 @@
         }
         shared = true;
         front.happened(new Event.Share());
-        after(TAKE_MILLIS, () -> {
+        sockets.postAfter(TAKE_MILLIS, () -> {
             if (link == newer && !letGo) {
                 link.close();
                 newerGone(link, "it took the ids and then said nothing");
@@ -466,7 +450,7 @@
             return;
         }
         try {
-            marksFile.write(new HashMap<>(desk.marks()));
+            marksFile.write(desk.marks());
         } catch (IOException e) {
             Say.warn("succession.marks_unwritten", "why", e.getMessage());
         }
--- a/src/main/java/yewdock/desk/Calls.java
+++ b/src/main/java/yewdock/desk/Calls.java
@@ -1,10 +1,10 @@
 package yewdock.desk;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
-import umberspread.Routing;
 
 /**
  * Operators' calls, as a part of the reducer: each is answered in the turn in which it came, so that a yes is
@@ -43,7 +43,7 @@
     }
 
     void called(Event.Called e, boolean leaving) {
-        turn.count("calls." + e.call().name().toLowerCase(java.util.Locale.ROOT));
+        turn.count("calls." + e.call().name().toLowerCase(Locale.ROOT));
         switch (e.call()) {
             case HEALTH -> {
                 String why = unready.get();
@@ -127,8 +127,7 @@
         int avoided = 0;
         for (ModelBox box : boxes.told()) {
             ModelBox over = boxes.get(box.id());
-            boolean byHand = over == null || over.replica().lifecycle() != Routing.Lifecycle.READY;
-            avoided += byHand || avoidedByChoice.contains(box.id()) ? 1 : 0;
+            avoided += over == null || !over.takesWork() || avoidedByChoice.contains(box.id()) ? 1 : 0;
         }
         return new Figures(classes, counters.get("tries.written"), pending.getAsInt(), boxes.told().size(),
                 avoided);
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -37,9 +37,7 @@
     private final Calls calls;
     private boolean leaving;
     private boolean lettingGo;
-    private boolean waits;
-    /** An older process finishes; who is told that this one is ready ends it. */
-    private boolean awaits;
+    private Older older = Older.NONE;
     /** What the list tells is told on, to be kept. */
     private boolean keeping;
     private long letGoUntil;
@@ -60,7 +58,8 @@
         this.tries = answers.tries();
         this.streams = new Streams(turn, lines, answers);
         this.calls = new Calls(turn, terms, counters, boxes, () -> answers.open() + others.claims(),
-                () -> lettingGo ? "a newer process serves" : awaits ? "an older process finishes" : unready(),
+                () -> lettingGo ? "a newer process serves"
+                        : older == Older.FINISHES ? "an older process finishes" : unready(),
                 this::changedHere);
         turn.module(makeModule.apply(new Collector()));
     }
@@ -89,11 +88,6 @@
         return turn.timers().next();
     }
 
-    /** Whether a request that came now could be served. */
-    public boolean ready() {
-        return unready().isEmpty();
-    }
-
     /** Why a request that came now could not be served; empty if it could. */
     public String unready() {
         if (leaving && !lettingGo) {
@@ -102,7 +96,7 @@
         if (calls.quiesced()) {
             return "quiesced";
         }
-        if (waits) {
+        if (older == Older.SERVES) {
             return "an older process serves";
         }
         return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
@@ -207,10 +201,8 @@
         } else if (event instanceof Event.MarkChanged e) {
             boxes.mark(e.box(), e.mark());
             changedHere();
-        } else if (event instanceof Event.Waits e) {
-            waits = e.waits();
-        } else if (event instanceof Event.Awaits e) {
-            awaits = e.finishing();
+        } else if (event instanceof Event.Beside e) {
+            older = e.older();
         } else if (event instanceof Event.Keeping) {
             keeping = true;
         } else if (event instanceof Event.Called e) {
--- a/src/main/java/yewdock/desk/Ending.java
+++ b/src/main/java/yewdock/desk/Ending.java
@@ -1,11 +1,13 @@
 package yewdock.desk;
 
+import java.util.Locale;
+
 /** How a request that was taken has ended. */
 enum Ending {
     COMPLETED, REJECTED, FAILED;
 
     /** The counter of a class's requests that ended so. */
     String counter(String requestClass) {
-        return "requests." + requestClass + "." + name().toLowerCase(java.util.Locale.ROOT);
+        return "requests." + requestClass + "." + name().toLowerCase(Locale.ROOT);
     }
 }
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -115,12 +115,8 @@
     record MarkChanged(String box, BoxMark mark) implements Event {
     }
 
-    /** An older process of this router serves, and this one waits to take over; or waits no more. */
-    record Waits(boolean waits) implements Event {
-    }
-
-    /** This process serves, and an older one still finishes what it has; or it has finished. */
-    record Awaits(boolean finishing) implements Event {
+    /** An older process of this router is there, or no more. */
+    record Beside(Older older) implements Event {
     }
 
     /** The router is to leave. */
--- a/src/main/java/yewdock/desk/KnownBoxes.java
+++ b/src/main/java/yewdock/desk/KnownBoxes.java
@@ -64,7 +64,7 @@
         marksChanged();
     }
 
-    /** Another process of this router was told this. */
+    /** This is said of the box from now on, whatever was said of it before. */
     void mark(String name, BoxMark mark) {
         marks.put(name, mark);
         marksChanged();
@@ -72,8 +72,7 @@
 
     /** An operator puts the box out of use. */
     void cordon(String name) {
-        marks.put(name, BoxMark.DRAINS);
-        marksChanged();
+        mark(name, BoxMark.DRAINS);
     }
 
     /** An operator puts the box back into use. */
--- a/src/main/java/yewdock/door/Door.java
+++ b/src/main/java/yewdock/door/Door.java
@@ -24,7 +24,7 @@
     public static final int MOST_ACCEPTED = MOST_CALLERS + 8;
     /** A caller that sends nothing for so long is given up. */
     public static final int PATIENCE_SECONDS = 3;
-    static final String PREFIX = "edge_proxy.";
+    private static final String PREFIX = "edge_proxy.";
 
     private final Front front;
     private final Map<Long, Caller> callers = new LinkedHashMap<>();
--- a/src/main/java/yewdock/proof/ReplacementProof.java
+++ b/src/main/java/yewdock/proof/ReplacementProof.java
@@ -39,6 +39,7 @@
     private final Consumer<String> out;
     private final List<Rules.Marked> marks = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
+    private final List<Instance> started = new ArrayList<>();
     private final Map<String, Integer> faults = new LinkedHashMap<>();
     private final Histogram serves = new Histogram(3);
     private final Histogram ready = new Histogram(3);
@@ -59,9 +60,8 @@
     /** Runs it; returns what was broken, which is nothing if all is well. */
     public List<String> run() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("yewdock-proof");
-        Instance serving = null;
         try (Fleet fleet = new Fleet(BOXES, SLOTS)) {
-            serving = Instance.start(List.of(main, "serve"), folder, fleet.withDoor("127.0.0.1:0"));
+            Instance serving = start(folder, fleet.withDoor("127.0.0.1:0"));
             InetSocketAddress address = serving.address();
             String config = fleet.withDoor("127.0.0.1:" + address.getPort());
             serving.ready();
@@ -85,14 +85,18 @@
             broken.addAll(Rules.broken(fleet.ledger(), marks));
             report(fleet.ledger());
         } finally {
-            if (serving != null) {
-                serving.close();
-            }
+            started.forEach(Instance::close);
             UpgradeProof.delete(folder);
         }
         return broken;
     }
 
+    private Instance start(Path folder, String config) throws IOException {
+        Instance instance = Instance.start(List.of(main, "serve"), folder, config);
+        started.add(instance);
+        return instance;
+    }
+
     private void check(boolean holds, String what) {
         if (!holds) {
             broken.add(what);
@@ -111,7 +115,7 @@
     }
 
     private Instance replace(Instance older, Path folder, String config) throws IOException {
-        Instance newer = Instance.start(List.of(main, "serve"), folder, config);
+        Instance newer = start(folder, config);
         check(newer.await(l -> l.contains("succession.took_over")) != null, "did not take over:\n"
                 + newer.log() + "\nthe older one:\n" + older.log());
         serves.recordValue((System.nanoTime() - newer.startedAt()) / 1_000);
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -162,6 +162,20 @@
         queue.add(new Task(null, work));
     }
 
+    /** The same after so long. */
+    public void postAfter(long millis, Runnable work) {
+        Thread timer = new Thread(() -> {
+            try {
+                Thread.sleep(millis);
+                post(work);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "later");
+        timer.setDaemon(true);
+        timer.start();
+    }
+
     /**
      * Takes connections from a listener that others may take them from too. Ours to stop with, never to
      * close: what waits in its queue is for whoever accepts next. Called on the desk's thread.
--- a/src/main/java/yewdock/textbook/Hashes.java
+++ b/src/main/java/yewdock/textbook/Hashes.java
@@ -3,11 +3,10 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.function.LongUnaryOperator;
 import java.util.zip.CRC32;
+import umberspread.Mixing;
 
 /** Hash functions for rings. */
 final class Hashes {
-    private static final double UNIT = 0x1.0p-53;
-
     private Hashes() {
     }
 
@@ -27,7 +26,7 @@
                 yield x -> hasher.hashStream().putLong(x).getAsLong();
             }
             case "crc32" -> Hashes::crc;
-            default -> Hashes::mix;
+            default -> Mixing::mix;
         };
     }
 
@@ -39,16 +38,4 @@
         // spread over the whole ring: the sum has half its bits
         return crc.getValue() << 32;
     }
-
-    static long mix(long x) {
-        long z = x + 0x9e3779b97f4a7c15L;
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return z ^ z >>> 31;
-    }
-
-    /** A hash as a number from 0 to 1. */
-    static double unit(long hash) {
-        return (hash >>> 11) * UNIT;
-    }
 }
--- a/src/main/java/yewdock/textbook/Ring.java
+++ b/src/main/java/yewdock/textbook/Ring.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongUnaryOperator;
+import umberspread.Mixing;
 import umberspread.Routing;
 import umberspread.Routing.Request;
 
@@ -82,7 +83,7 @@
         }
         double fair = (openInAll + 1.0) / ready.size() * factor;
         double most = options.rounding().equals("chance")
-                ? Math.floor(fair + Hashes.unit(Hashes.mix(request.id() ^ box.replica.id())))
+                ? Math.floor(fair + Mixing.unit(request.id() ^ box.replica.id()))
                 : Math.max(1, Math.floor(fair));
         return box.open + 1 <= most;
     }
