Cold rations by first tokens, the bound on all routers' streams, erring boxes left by all

At fault: `coldSpacing` (0.3 of what fells a box, scaled by the sends, which grow with a jam), `overBound` (own streams only), `strike` (one class at one router). Changed: half of what fells, scaled by first tokens; where a box has reported within a third of the longest patience, the bound is twice its fair part, by warmth and speed, of what all routers hold; a box that reports errors for more than half rests for all classes.

Alternative rejected: probes for fresh reports; not ruled out by measure, a subsystem the module lacks.

BoundedLoadRouterTest's two new cases fail without the bound and the errors' rule.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.LongUnaryOperator;
 import umberspread.Routing.Effect;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.ListKind;
@@ -67,6 +68,8 @@
     private static final int MOST_DOUBLINGS = 3;
     /** A class rests at a replica that turned it away for this part of a patience, doubled in a row. */
     private static final int REST_PART = 12;
+    /** Errors of more than this part of a replica's answers, as it reports, keep all classes away. */
+    private static final double MOST_ERRORS = 0.5;
     /** At most this part of the ready replicas is ejected: beyond it, trouble is everywhere. */
     private static final double MOST_EJECTED = 0.4;
     /** Where no budget of attempts is stated: this part of the arrivals of the longest patience, and one. */
@@ -95,21 +98,24 @@
     /** A tenant's share is metered over this many of the shortest aim. */
     private static final double METER_AIMS = 5;
     /** A cold replica is empty too: it gets this part of what would fell it, were the rest at capacity. */
-    private static final double COLD_MARGIN = 0.3;
+    private static final double COLD_MARGIN = 0.5;
+    /** What others hold at a replica is believed for this part of a patience after its report. */
+    private static final int REPORT_PART = 3;
+    /** So many times its fair part of what all gateways hold is too much: reports tell it late. */
+    private static final double REPORTED_FACTOR = 2;
     /** An attempt is lost when a later one's first token is ahead of it by this part of the shortest aim. */
     private static final int OVERTAKE_PART = 10;
     /** A request gets a second copy, where copies are allowed, when this part of its aim has passed. */
     private static final int HEDGE_PART = 2;
     /** A refused client is told to come back after this part of its aim: there is time for one more try. */
     private static final int RETURN_PART = 8;
-    /** At most one log line a second. */
-    private static final long LOG_EVERY = 1_000_000;
     /** What is added to a count that a sum of fractions must reach. */
     private static final double ROUNDING = 1e-9;
     private static final int DISCOVERY_TOKEN = 0;
 
     final Settings settings;
     private final Routing.Tuning tuning;
+    private final LongUnaryOperator hash;
     private final Routing.Actions actions;
     private final SplittableRandom random;
     final Map<Long, Node> nodes = new HashMap<>();
@@ -137,14 +143,13 @@
     private final long planEvery;
     double averageWorth;
     private final double[] delay = new double[2];
-    double sendTally;
+    double firstTokenTally;
     double readRate;
     double unitWeight;
     private long latest = Long.MIN_VALUE;
     final double[] classTime;
     final Map<Integer, Double> kindTime = new HashMap<>();
     private final Sessions sessions = new Sessions();
-    private long nextLogAt;
     final double[] tenantTally;
 
     /**
@@ -162,6 +167,8 @@
         boolean ownZoneFirst;
         double capacity = 1;
         double arrivals;
+        double held;
+        double room;
 
         Pool(Routing.Placement placement) {
             this.placement = placement;
@@ -206,6 +213,8 @@
         long coldBudgetAt;
         long budgetedStart;
         long spokeAt;
+        double others;
+        long othersUntil;
 
         Node(Replica replica, int points, int classes) {
             this.restUntil = new long[classes];
@@ -300,6 +309,7 @@
     public BoundedLoadRouter(Settings settings, long seed, Routing.Actions actions, Routing.Tuning tuning) {
         this.settings = settings;
         this.tuning = tuning;
+        this.hash = tuning.hash();
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         long longest = 0;
@@ -359,25 +369,14 @@
         }
         boolean changed = false;
         if (kind != ListKind.DELTA) {
-            Map<Long, Boolean> listed = new HashMap<>();
-            for (Replica r : entries) {
-                listed.put(r.id(), true);
-            }
-            List<Node> missing = new ArrayList<>();
-            for (Node n : nodes.values()) {
-                if (!listed.containsKey(n.replica.id())) {
-                    missing.add(n);
-                }
-            }
-            for (Node n : missing) {
+            Map<Long, Node> missing = new HashMap<>(nodes);
+            entries.forEach(r -> missing.remove(r.id()));
+            for (Node n : missing.values()) {
                 changed |= remove(n);
             }
         }
         if (unitWeight == 0 && !entries.isEmpty()) {
-            double sum = 0;
-            for (Replica r : entries) {
-                sum += Math.max(0, r.weight());
-            }
+            double sum = entries.stream().mapToDouble(r -> Math.max(0, r.weight())).sum();
             unitWeight = sum > 0 ? Math.pow(2, Math.rint(Math.log(sum / entries.size()) / Math.log(2))) : 1;
         }
         for (Replica r : entries) {
@@ -431,16 +430,13 @@
     void rebuildRing() {
         members.clear();
         planStale = true;
-        for (Node n : nodes.values()) {
-            if (n.replica.lifecycle() == Lifecycle.READY) {
-                members.add(n);
-            }
-        }
+        members.addAll(nodes.values());
+        members.removeIf(n -> n.replica.lifecycle() != Lifecycle.READY);
         members.sort((a, b) -> Long.compare(a.replica.id(), b.replica.id()));
         Map<Long, Node> byPoint = new HashMap<>();
         for (Node n : members) {
             for (int i = 0; i < n.points; i++) {
-                long point = hash(hash(n.replica.id() ^ Mixing.RING_SALT) + i);
+                long point = hash.applyAsLong(hash.applyAsLong(n.replica.id() ^ Mixing.RING_SALT) + i);
                 Node other = byPoint.get(point);
                 if (other == null || other.replica.id() > n.replica.id()) {
                     byPoint.put(point, n);
@@ -461,11 +457,8 @@
     /** Placement is kept here: a replica that the pool's classes may not run on is not on its ring. */
     private void rebuildPool(Pool pool, long[] points, Map<Long, Node> byPoint) {
         pool.members.clear();
-        for (Node n : members) {
-            if (n.pools.contains(pool)) {
-                pool.members.add(n);
-            }
-        }
+        pool.members.addAll(members);
+        pool.members.removeIf(n -> !n.pools.contains(pool));
         pool.ready = pool.members.size();
         chooseHome(pool);
         long[] own = new long[points.length];
@@ -522,12 +515,11 @@
         Hot h = hot.get(p.key);
         int wanted = h == null ? 1 : h.spread;
         long session = Mixing.mix(p.sessionOrId() ^ p.key);
-        long place = hash(p.key);
+        long place = hash.applyAsLong(p.key);
         if (wanted > MOST_WALKED) {
-            place = hash(p.key ^ Mixing.mix(session & wanted / MOST_WALKED - 1));
+            place = hash.applyAsLong(p.key ^ Mixing.mix(session & wanted / MOST_WALKED - 1));
             wanted = MOST_WALKED;
         }
-        boolean bounded = cheapToRead(p);
         Node overBound = null;
         Node best = null;
         double bestScore = 0;
@@ -548,7 +540,7 @@
                 continue;
             }
             boolean cold = warmth(n, now) < 1;
-            if ((bounded || cold) && overBound(p, n, now)) {
+            if ((cold || cheapToRead(p) || n.othersUntil > now) && overBound(p, n, now)) {
                 overBound = overBound == null && !cold ? n : overBound;
                 continue;
             }
@@ -575,8 +567,15 @@
                 && !(cheapToRead(p) && overBound(p, n, now));
     }
 
-    /** One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. */
+    /**
+     * One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. The bound is
+     * on all gateways' streams where reports tell them: with many gateways an own count is one or none.
+     */
     private boolean overBound(Pending p, Node n, long now) {
+        if (n.othersUntil > now && p.pool.room > 0) {
+            return n.load + n.others + 1 > Math.max(1, Math.ceil(REPORTED_FACTOR * (p.pool.held + 1)
+                    * weight(n) * speed(n) * warmth(n, now) / p.pool.room));
+        }
         double average = (p.pool.inFlight + 1) * weight(n) * warmth(n, now) / p.pool.capacity;
         double fair = average * (tuning.loadFactor() / 100.0);
         return n.load + 1 > (tuning.byChance()
@@ -598,15 +597,21 @@
         unnamed *= decay;
         double total = unnamed;
         double meterDecay = Math.exp(-(double) elapsed / (METER_AIMS * planEvery * PLANS_PER_AIM));
-        sendTally *= meterDecay;
+        firstTokenTally *= meterDecay;
         for (int t = 0; t < tenantTally.length; t++) {
             tenantTally[t] *= meterDecay;
         }
         for (Pool pool : pools) {
             pool.arrivals *= decay;
             pool.capacity = 0;
+            pool.held = 0;
+            pool.room = 0;
             for (Node n : pool.members) {
                 pool.capacity += n.ejectedUntil > now ? 0 : weight(n);
+                if (n.othersUntil > now && n.ejectedUntil <= now) {
+                    pool.held += n.load + n.others;
+                    pool.room += weight(n) * speed(n) * warmth(n, now);
+                }
             }
         }
         for (Hot h : hot.values()) {
@@ -642,7 +647,7 @@
     private Node firstFree(Pending p, long now) {
         visit++;
         int seen = 0;
-        for (int i = p.pool.start(hash(p.key)); seen < p.pool.ready; i = p.pool.next(i)) {
+        for (int i = p.pool.start(hash.applyAsLong(p.key)); seen < p.pool.ready; i = p.pool.next(i)) {
             Node n = p.pool.owners[i];
             if (n.visited == visit) {
                 continue;
@@ -727,7 +732,7 @@
         if (n.overdue == 0 && n.slowUntil <= now) {
             return false;
         }
-        long bearable = aboveAverage(p) ? aim(p) / BEARABLE_PART : (long) (aim(p) * p.type.lateWorth());
+        long bearable = p.worth > averageWorth * ABOVE ? aim(p) / BEARABLE_PART : (long) (aim(p) * p.type.lateWorth());
         Attempt oldest = n.waiting.peek();
         return oldest != null && now - oldest.sentAt > bearable
                 || n.slowUntil > now && n.lastDelay > bearable;
@@ -782,7 +787,7 @@
 
     private long coldSpacing(Node n, long now) {
         double meterTime = METER_AIMS * planEvery * PLANS_PER_AIM;
-        double perReplica = sendTally / meterTime / Math.max(1, whole.ready);
+        double perReplica = firstTokenTally / meterTime / Math.max(1, whole.ready);
         double rate = perReplica * warmth(n, now) * settings.contract().fallMultiple() * COLD_MARGIN;
         return (long) Math.min(1 / rate, settings.contract().coldFor());
     }
@@ -830,10 +835,6 @@
         return random.nextDouble() < excess;
     }
 
-    private boolean aboveAverage(Pending p) {
-        return p.worth > averageWorth * ABOVE;
-    }
-
     private static void notOverdue(Attempt a, long now) {
         if (a.overdue) {
             a.node.lastDelay = now - a.sentAt;
@@ -881,7 +882,6 @@
         if (p.attempts.size() > 1) {
             further.add(now);
         }
-        sendTally++;
         spendColdBudget(n, now);
         n.load++;
         n.onTrial = n.ejections > 0;
@@ -912,6 +912,7 @@
         a.firstTokenAfter = now - a.sentAt;
         learnDelay(p, a, now);
         p.begun = true;
+        firstTokenTally++;
         a.node.spokeAt = now;
         a.node.breaks = 0;
         a.node.onTrial = false;
@@ -999,6 +1000,10 @@
         a.node.load--;
         a.node.waiting.remove(a);
         a.pools.forEach(pool -> pool.inFlight--);
+        if (report != null && report.inFlight() >= 0) {
+            a.node.others = Math.max(0, report.inFlight() - a.node.load);
+            a.node.othersUntil = now + patience / REPORT_PART;
+        }
         // copies answered elsewhere while it said nothing to anyone: a vanished machine refuses nothing
         boolean silence = outcome == Outcome.CANCELLED && a.firstTokenAfter == 0 && a.overdue
                 && a.node.spokeAt < a.sentAt && roomy(p, now);
@@ -1008,7 +1013,14 @@
             learnDelay(p, a, now);
         }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
-            strike(p, a.node, now);
+            // a replica that reports errors to everybody is each gateway's and each class's trouble
+            boolean all = outcome == Outcome.ERROR && report != null
+                    && report.errorsPerSecond() > MOST_ERRORS * report.requestsPerSecond();
+            for (int c = 0; c < a.node.strikes.length; c++) {
+                if (all || c == p.request.requestClass()) {
+                    strike(p.pool, c, a.node, now);
+                }
+            }
         } else if (outcome == Outcome.OK) {
             a.node.strikes[p.request.requestClass()] /= 2;
         }
@@ -1064,7 +1076,8 @@
                 n.ejectedUntil = now + (patience / EJECTION_PART << Math.min(n.ejections, MOST_DOUBLINGS));
                 n.ejections++;
                 planStale = true;
-                logEjection(n, outcome, now);
+                actions.log("ejected replica " + n.replica.id() + " after " + outcome + ", trial in "
+                        + (n.ejectedUntil - now) / 1000 + " ms");
             }
         } else {
             n.onTrial = false;
@@ -1077,12 +1090,8 @@
      * doubled each time; the others stay. Could harm where a passing error empties a small pool, hence the
      * ceiling that it shares with ejections.
      */
-    private void strike(Pending p, Node n, long now) {
-        int c = p.request.requestClass();
-        if (n.restUntil[c] > now) {
-            return;
-        }
-        if (away(p.pool, c, now) + 1 <= MOST_EJECTED * p.pool.ready) {
+    private void strike(Pool pool, int c, Node n, long now) {
+        if (n.restUntil[c] <= now && away(pool, c, now) + 1 <= MOST_EJECTED * pool.ready) {
             n.restUntil[c] = now + (patience / REST_PART << Math.min(n.strikes[c], MOST_DOUBLINGS));
             n.strikes[c]++;
         }
@@ -1097,14 +1106,6 @@
         return count;
     }
 
-    private void logEjection(Node n, Outcome outcome, long now) {
-        if (now >= nextLogAt) {
-            nextLogAt = now + LOG_EVERY;
-            actions.log("ejected replica " + n.replica.id() + " after " + outcome + ", trial in "
-                    + (n.ejectedUntil - now) / 1000 + " ms");
-        }
-    }
-
     private void forgetOld(long now) {
         long edge = now - budget.window();
         while (!taken.isEmpty() && taken.peek() <= edge) {
@@ -1253,8 +1254,4 @@
         return span <= 0 ? 0 : random.nextLong(span);
     }
 
-    private long hash(long x) {
-        return tuning.hash().applyAsLong(x);
-    }
-
 }
--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -63,7 +63,7 @@
             router.hot.forEach((key, h) ->
                     keys.add(new Memory.OfKey(key, h.tally, h.spread, router.pools.indexOf(h.pool))));
         }
-        return new Memory(router.unitWeight, router.averageWorth, router.sendTally, router.readRate,
+        return new Memory(router.unitWeight, router.averageWorth, router.firstTokenTally, router.readRate,
                 router.unnamed, router.plannedAt,
                 list(router.classTime), router.kindTime, list(router.tenantTally), List.copyOf(router.taken),
                 List.copyOf(router.further), replicas, keys,
@@ -74,7 +74,7 @@
     private void recall(long now) {
         router.unitWeight = memory.unitWeight();
         router.averageWorth = memory.averageWorth();
-        router.sendTally = memory.sendTally();
+        router.firstTokenTally = memory.sendTally();
         router.readRate = memory.readRate();
         router.unnamed = memory.unnamed();
         router.plannedAt = Math.min(now, memory.plannedAt() + shift);
--- a/src/main/java/yewdock/model/Scenario.java
+++ b/src/main/java/yewdock/model/Scenario.java
@@ -120,6 +120,8 @@
         DRAIN,
         /** A part of the boxes hangs: it takes work and does nothing. */
         HANG,
+        /** A part of the routers is killed, and knows nothing when it is back. */
+        ROUTERS_KILLED,
         /** A part of the boxes dies and comes back cold at once. */
         RESTART,
         /** A part of the boxes answers so many of its requests (size) with errors. */
--- a/src/main/java/yewdock/model/World.java
+++ b/src/main/java/yewdock/model/World.java
@@ -211,6 +211,8 @@
             case REPORTS_LATE -> reports.late(s.size() * SECOND);
             case LIST_LATE -> register.lateMicros += s.size() * SECOND;
             case SITE_LOST -> lose(s);
+            case ROUTERS_KILLED -> hosts.stream().limit(Math.round(s.part() * hosts.size()))
+                    .forEach(this::kill);
             case RESTART -> s.boxes().forEach(b -> {
                 die(boxes.get(b), false);
                 start(boxes.get(b));
@@ -231,13 +233,9 @@
             case LIST_LATE -> register.lateMicros -= s.size() * SECOND;
             case SITE_LOST -> {
                 s.boxes().forEach(b -> start(boxes.get(b)));
-                for (Host h : hosts) {
-                    if (!h.alive()) {
-                        h.start();
-                        known.add(h);
-                    }
-                }
+                startRouters();
             }
+            case ROUTERS_KILLED -> startRouters();
             default -> {
                 // over by itself
             }
@@ -258,13 +256,30 @@
         s.boxes().forEach(b -> die(boxes.get(b), silently));
         if (s.size() > 0.5) {
             for (Host h : hosts) {
-                if (h.site == s.site() && h.alive()) {
-                    h.die();
-                    calendar.after(day.routerNotice, () -> {
-                        if (!h.alive()) {
-                            known.remove(h);
-                        }
-                    });
+                if (h.site == s.site()) {
+                    kill(h);
+                }
+            }
+        }
+    }
+
+    private void kill(Host h) {
+        if (h.alive()) {
+            h.die();
+            calendar.after(day.routerNotice, () -> {
+                if (!h.alive()) {
+                    known.remove(h);
+                }
+            });
+        }
+    }
+
+    private void startRouters() {
+        for (Host h : hosts) {
+            if (!h.alive()) {
+                h.start();
+                if (!known.contains(h)) {
+                    known.add(h);
                 }
             }
         }
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -318,6 +318,46 @@
         assertNotEquals(where, f.lastReplica());
     }
 
+    /** An own count of one or none says nothing of a jam that many gateways make together. */
+    @Test
+    void theBoundIsOnAllGatewaysStreamsWhereReportsTellThem() {
+        Fixture f = new Fixture(new Fixture.Setup().build()).list(8);
+        for (int i = 0; i < 100; i++) {
+            report(f, f.arrive(1000 + i, 100 + i), 2);
+            f.pass(SECOND / 100);
+        }
+        long id = f.arrive(1, 7);
+        long home = f.lastReplica();
+        report(f, id, 40);
+        f.pass(SECOND);
+        f.arrive(5000, 7);
+        assertNotEquals(home, f.lastReplica());
+        // what was reported long ago is believed no more
+        f.pass(3 * SECOND);
+        f.arrive(5001, 7);
+        assertEquals(home, f.lastReplica());
+    }
+
+    /** Each gateway and each class finds a replica that errs to everybody anew, at its clients' cost. */
+    @Test
+    void aReplicaThatReportsMostlyErrorsIsLeftAloneByAllClasses() {
+        for (double errors : new double[] {1, 9}) {
+            Fixture f = fixture(3);
+            long id = f.arriveAs(0, 0, 7);
+            long bad = f.lastReplica();
+            f.router.attemptEnded(f.now, id, 0, Outcome.ERROR, 0, false, 0, new Routing.LoadReport(1, Double.NaN,
+                    Double.NaN, Double.NaN, 10, errors, Double.NaN, Double.NaN));
+            f.arriveAs(1, 0, 7);
+            assertEquals(errors < 5, bad == f.lastReplica(), errors + " errors of 10");
+        }
+    }
+
+    private static void report(Fixture f, long id, double held) {
+        f.router.firstToken(f.now, id, 0);
+        f.router.attemptEnded(f.now, id, 0, Outcome.OK, 0, true, 0, new Routing.LoadReport(held, Double.NaN,
+                Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN));
+    }
+
     // ---- slow start
 
     @Test
@@ -334,7 +374,7 @@
             cold += f.lastReplica() == 9 ? 1 : 0;
             f.pass(SECOND / 50);
         }
-        // fair share of two seconds is 25; a fifth of that, times the multiple and the margin, is 6
+        // fair share of two seconds is 25; a fifth of that, times the multiple and the margin, is 8
         assertTrue(cold >= 1 && cold <= 9, "cold replica got " + cold);
     }
 
