Where boxes report, the bound holds for all prompts; lines within the style check

At fault: `pick`, which asked for a fresh report at that box; now the pool's reports are asked, and a box without a fresh one is held to the own count. Deployments that report nothing stay as they were. Checkstyle failed on three long lines: wrapped.

Measured: unit, fleet, world and drawn-deployment tests, style check: green.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -540,7 +540,7 @@
                 continue;
             }
             boolean cold = warmth(n, now) < 1;
-            if ((cold || cheapToRead(p) || n.othersUntil > now) && overBound(p, n, now)) {
+            if ((cold || cheapToRead(p) || pool.room > 0) && overBound(p, n, now)) {
                 overBound = overBound == null && !cold ? n : overBound;
                 continue;
             }
@@ -568,8 +568,8 @@
     }
 
     /**
-     * One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. The bound is
-     * on all gateways' streams where reports tell them: with many gateways an own count is one or none.
+     * One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. Where
+     * reports tell them, all gateways' streams count: with many gateways an own count is one or none.
      */
     private boolean overBound(Pending p, Node n, long now) {
         if (n.othersUntil > now && p.pool.room > 0) {
@@ -732,7 +732,8 @@
         if (n.overdue == 0 && n.slowUntil <= now) {
             return false;
         }
-        long bearable = p.worth > averageWorth * ABOVE ? aim(p) / BEARABLE_PART : (long) (aim(p) * p.type.lateWorth());
+        long bearable = p.worth > averageWorth * ABOVE ? aim(p) / BEARABLE_PART
+                : (long) (aim(p) * p.type.lateWorth());
         Attempt oldest = n.waiting.peek();
         return oldest != null && now - oldest.sentAt > bearable
                 || n.slowUntil > now && n.lastDelay > bearable;
@@ -1013,7 +1014,6 @@
             learnDelay(p, a, now);
         }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
-            // a replica that reports errors to everybody is each gateway's and each class's trouble
             boolean all = outcome == Outcome.ERROR && report != null
                     && report.errorsPerSecond() > MOST_ERRORS * report.requestsPerSecond();
             for (int c = 0; c < a.node.strikes.length; c++) {
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -345,8 +345,9 @@
             Fixture f = fixture(3);
             long id = f.arriveAs(0, 0, 7);
             long bad = f.lastReplica();
-            f.router.attemptEnded(f.now, id, 0, Outcome.ERROR, 0, false, 0, new Routing.LoadReport(1, Double.NaN,
-                    Double.NaN, Double.NaN, 10, errors, Double.NaN, Double.NaN));
+            f.router.attemptEnded(f.now, id, 0, Outcome.ERROR, 0, false, 0,
+                    new Routing.LoadReport(1, Double.NaN, Double.NaN, Double.NaN, 10, errors,
+                            Double.NaN, Double.NaN));
             f.arriveAs(1, 0, 7);
             assertEquals(errors < 5, bad == f.lastReplica(), errors + " errors of 10");
         }
