--- a/src/main/java/umberspread/GenerationRouter.java
+++ b/src/main/java/umberspread/GenerationRouter.java
@@ -74,7 +74,7 @@
     private void recall(long now) {
         router.unitWeight = memory.unitWeight();
         router.averageWorth = memory.averageWorth();
-        router.firstTokenTally = memory.sendTally();
+        router.firstTokenTally = memory.firstTokenTally();
         router.readRate = memory.readRate();
         router.unnamed = memory.unnamed();
         router.plannedAt = Math.min(now, memory.plannedAt() + shift);
--- a/src/main/java/umberspread/Memory.java
+++ b/src/main/java/umberspread/Memory.java
@@ -7,7 +7,7 @@
  * What a router has learnt and another of the same gateway may go on with. Times are microseconds on the
  * clock of the one that learnt it. Open requests are no part of it: they stay where they were taken.
  */
-public record Memory(double unitWeight, double averageWorth, double sendTally, double readRate,
+public record Memory(double unitWeight, double averageWorth, double firstTokenTally, double readRate,
         double unnamed, long plannedAt,
         List<Double> classTime, Map<Integer, Double> kindTime, List<Double> tenantTally, List<Long> taken,
         List<Long> further, List<OfReplica> replicas, List<OfKey> keys, List<Double> poolArrivals) {
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -195,7 +195,7 @@
 
     private static Memory memory(umberspread.Memory m) {
         Memory.Builder all = Memory.newBuilder().setUnitWeight(m.unitWeight())
-                .setAverageWorth(m.averageWorth()).setSendTally(m.sendTally()).setReadRate(m.readRate())
+                .setAverageWorth(m.averageWorth()).setSendTally(m.firstTokenTally()).setReadRate(m.readRate())
                 .setUnnamed(m.unnamed()).setPlannedAt(m.plannedAt()).addAllClassTime(m.classTime())
                 .putAllKindTime(m.kindTime()).addAllMunicipalityTally(m.tenantTally())
                 .addAllTaken(m.taken()).addAllFurther(m.further()).addAllPoolArrivals(m.poolArrivals());
--- a/src/test/java/yewdock/StartTest.java
+++ b/src/test/java/yewdock/StartTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -25,14 +24,9 @@
                 "yewdock.Main", "serve");
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
-        builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "out.txt"));
-        Process process = builder.start();
+        Process process = builder.redirectErrorStream(true).start();
         try {
-            Path out = folder.resolve("out.txt");
-            while (process.isAlive() && !Files.readString(out).contains("listens on")) {
-                Thread.onSpinWait();
-            }
-            assertTrue(Files.readString(out).contains("listens on"), Files.readString(out));
+            assertTrue(process.inputReader().lines().anyMatch(l -> l.contains("listens on")));
         } finally {
             process.destroyForcibly().waitFor();
         }
