Two silent calls for the box list in a row still keep a drain; fewer calls in quiet

What the call missed counts as told 2 s after its wait, and the drain's second ends at 3 s: the new call came 2.75 to 3.25 s after the wait, so a drain could be broken by one silent call, and was by two (AskedListTest on the lines before: silent after 0: told at 11.1 s, has to be kept from 8.0 s, with a module that waits 1 s).

At an agent, an answer had four parts of the grace's four once calls had failed: a call that died as an outage ended was found dead past the grace (PushedListTest on the lines before fails for silences of 1 to 3 s).

Ruled out: a longer patience with a shorter wait. Below 4 s of wait the clock of 6 s governs and nothing is won for the answers; calls over the fleet would rise, and they are priced.

At fault: ListWatch.PATIENCE, MOST_PATIENCE, and the failure of a silent call that went through the module. Change: an answer may take two fifths of (2 s + the grace), the next call goes out at once, at most twice in a row; the wait is 5 s. docs/PLATFORM.md derives it. Run: AskedListTest, PushedListTest, ExchangesTest, DeploymentsTest.

--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -12,14 +12,25 @@
  * moment, and a call that brings nothing is made anew well within the time in which a drain must be kept.
  */
 final class ListWatch {
-    /** How long a call for the list may wait for news, and how much longer the answer may take. */
-    static final long WAIT = 4_000_000;
-    static final long PATIENCE = 2_500_000;
+    /** How long a call for the list may wait for news. */
+    static final long WAIT = 5_000_000;
+    /** What a silent call missed counts as told so long after its wait, whether it arrived or not. */
+    private static final long COUNTS_AS_TOLD = 2_000_000;
+    /**
+     * Of that time and the drain's grace together, an answer may take two parts of five: of two silent calls
+     * in a row the second is given up with a part left in which the third brings the news.
+     */
+    private static final int SILENCE_PARTS = 5;
+    /** So many silent calls in a row are followed by the next at once; after that the module says when. */
+    private static final int SILENT_CALLS = 2;
     /** Of the drain's grace, a call at an agent may wait for this part, and its answer take another. */
     private static final int GRACE_PARTS = 4;
     private static final long LEAST_PART = 50_000;
-    /** An agent's answers may take so many times longer once calls have failed: it may be slow. */
-    private static final int MOST_PATIENCE = 4;
+    /**
+     * An agent's answers may take so many times longer once calls have failed: it may be slow. No longer, or
+     * an agent that has the list again the moment after such a call went out is heard past the grace.
+     */
+    private static final int MOST_PATIENCE = 2;
     /** The first call after a failure at an agent waits so long, each further one twice as long. */
     private static final long AGAIN = 20_000;
     /** An answer with no news that did not wait is followed by a call so much later: 200 ms end a watch. */
@@ -38,6 +49,7 @@
     private boolean out;
     private boolean asked;
     private int failures;
+    private int silences;
 
     ListWatch(Terms terms, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
             Runnable whenLate) {
@@ -82,6 +94,7 @@
         address = where;
         version = -1;
         failures = 0;
+        silences = 0;
         if (out) {
             effects.accept(new Effect.HangUpList());
         }
@@ -114,11 +127,25 @@
         timers.at(calledAt + wait + patience(), () -> {
             if (out && call == mine) {
                 effects.accept(new Effect.HangUpList());
-                whenLate.run();
+                silent();
             }
         });
     }
 
+    /**
+     * A list that is asked has said nothing for too long: that call is broken, not the service, and what it
+     * missed counts as told soon. Asked anew at once; a service that stays silent is the module's to spare.
+     */
+    private void silent() {
+        if (!terms.listPushed() && silences < SILENT_CALLS) {
+            silences++;
+            counters.add("list.silent");
+            ask(0);
+        } else {
+            whenLate.run();
+        }
+    }
+
     private void askLater(long delay, long wait) {
         long last = call;
         timers.at(now.getAsLong() + delay, () -> {
@@ -134,8 +161,8 @@
     }
 
     private long patience() {
-        return terms.listPushed() ? Math.min(PATIENCE, part() * Math.min(MOST_PATIENCE, 1 + failures))
-                : PATIENCE;
+        return terms.listPushed() ? part() * Math.min(MOST_PATIENCE, 1 + failures)
+                : 2 * (COUNTS_AS_TOLD + terms.drainGrace()) / SILENCE_PARTS;
     }
 
     /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
@@ -144,6 +171,7 @@
         asked = false;
         out = false;
         failures = 0;
+        silences = 0;
         version = list.version();
         counters.add("list.answers");
         long wait = terms.listPushed() ? part() : WAIT;
--- /dev/null
+++ b/src/test/java/yewdock/AskedListTest.java
@@ -0,0 +1,153 @@
+package yewdock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import umberspread.Routing;
+import umberspread.Routing.Lifecycle;
+import umberspread.Routing.ListKind;
+import umberspread.Routing.Replica;
+import yewdock.desk.Bounds;
+import yewdock.desk.BoxList;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.ModelBox;
+import yewdock.desk.Terms;
+
+/**
+ * A list that is asked, and watches that fall silent: what they miss counts as told 6 s after the silence
+ * began, or 2 s after the call's wait where that is later, and a second later the drain has to be kept.
+ */
+class AskedListTest {
+    private static final long SECOND = 1_000_000;
+    private static final long GRACE = SECOND;
+    private static final long STEP = 50_000;
+    private static final BoxList KNOWN = new BoxList(7, true, List.of(box(Lifecycle.READY)));
+    private static final BoxList DRAINED = new BoxList(8, false, List.of(box(Lifecycle.DRAINING)));
+    private final Counters counters = new Counters();
+    private final Desk desk = new Desk(new Terms(250_000, 30 * SECOND, false, GRACE, 10 * SECOND, true, 4,
+            List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
+    private final List<Long> calls = new ArrayList<>();
+    private Routing.Actions module;
+    private Effect.AskList open;
+    private long openedAt;
+    private boolean drained;
+    private long silentUntil = Long.MIN_VALUE;
+    private long toldAt = Long.MAX_VALUE;
+    private int failuresTold;
+    private long now;
+
+    /** Calls once, and again a second after it hears of a failure. */
+    private final class Module extends QuietModule {
+        Module(Routing.Actions actions) {
+            module = actions;
+        }
+
+        @Override
+        public void started(long time) {
+            module.followList();
+        }
+
+        @Override
+        public void listReceived(long time, ListKind kind, List<Replica> entries) {
+            if (kind == ListKind.FAILED) {
+                failuresTold++;
+                module.wakeAt(time + SECOND, 1);
+            } else if (entries.stream().anyMatch(r -> r.lifecycle() == Lifecycle.DRAINING)) {
+                toldAt = Math.min(toldAt, time);
+            }
+        }
+
+        @Override
+        public void woken(long time, int token) {
+            module.followList();
+        }
+    }
+
+    private static ModelBox box(Lifecycle state) {
+        return new ModelBox("s-1", "127.0.0.1:9001", new Replica(1, 0, 0, 1, 1, state, 0));
+    }
+
+    private void happens(Event event) {
+        for (Effect effect : desk.reduce(event, now)) {
+            if (effect instanceof Effect.AskList call) {
+                calls.add(now);
+                open = call;
+                openedAt = now;
+            } else if (effect instanceof Effect.HangUpList) {
+                open = null;
+            }
+        }
+    }
+
+    /** The service answers with news, or once a call's wait is over; not at all while it is silent. */
+    private void pass(long micros) {
+        for (long until = now + micros; now < until;) {
+            now += STEP;
+            if (desk.nextDue() <= now) {
+                happens(new Event.Tick());
+            }
+            if (open == null || now < silentUntil) {
+                continue;
+            }
+            boolean news = drained && open.since() < DRAINED.version();
+            if (news || now >= openedAt + open.longest()) {
+                open = null;
+                happens(new Event.ListCame(news ? DRAINED : new BoxList(drained ? 8 : 7, false, List.of())));
+            }
+        }
+    }
+
+    /**
+     * The watch falls silent at every moment of its wait, the drain comes at that moment, and the call made
+     * next is silent too. Fails with calls given up after 6.5 s, and with the second left to the module.
+     */
+    @Test
+    void twoSilentCallsInARowStillKeepADrain() {
+        for (long at = 0; at < 5 * SECOND; at += STEP) {
+            AskedListTest each = new AskedListTest();
+            each.drainInSilence(at);
+        }
+    }
+
+    private void drainInSilence(long at) {
+        happens(new Event.Started(KNOWN, "127.0.0.1:8500"));
+        pass(20 * STEP);
+        while (now < openedAt + at) {
+            pass(STEP);
+        }
+        long wait = open.longest();
+        long silentAt = now;
+        long countsAsTold = Math.max(silentAt + 6 * SECOND, openedAt + wait + 2 * SECOND);
+        int made = calls.size();
+        drained = true;
+        while (calls.size() < made + 2) {
+            silentUntil = now + 2 * STEP;
+            pass(STEP);
+            assertTrue(now < silentAt + 30 * SECOND, "not asked anew");
+        }
+        pass(4 * SECOND);
+        assertTrue(toldAt <= countsAsTold + GRACE, "silent after " + at + ": told at " + toldAt
+                + ", has to be kept from " + (countsAsTold + GRACE));
+        assertEquals(0, failuresTold);
+    }
+
+    /** Calls are priced over the whole fleet: in quiet one for each 5 s, and few in a long silence. */
+    @Test
+    void quietAndSilenceAreNoStorm() {
+        happens(new Event.Started(KNOWN, "127.0.0.1:8500"));
+        pass(60 * SECOND);
+        assertTrue(calls.size() <= 14, "calls in a quiet minute: " + calls.size());
+        int before = calls.size();
+        silentUntil = now + 60 * SECOND;
+        pass(60 * SECOND);
+        int made = calls.size() - before;
+        assertTrue(made >= 10 && made <= 32, "calls in a silent minute: " + made);
+        assertTrue(failuresTold > 5, "the module spares a service that stays silent: " + failuresTold);
+    }
+}
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -195,6 +195,26 @@
         assertEquals("FULL [11:READY, 12:READY, 13:READY]", told.get(told.size() - 1));
     }
 
+    /**
+     * It has the drain from the moment on at which it can speak again, and the call that is out then stays
+     * dead. Fails with an agent's answers given a whole grace once calls have failed.
+     */
+    @Test
+    void aDrainThatComesWithTheEndOfAnOutageIsToldWithinTheGrace() {
+        for (long after = 1_000_000; after < 3_000_000; after += 25_000) {
+            PushedListTest each = new PushedListTest();
+            each.start();
+            each.pass(1_000_000);
+            each.agent.silent = true;
+            each.pass(after);
+            each.agent.silent = false;
+            each.agent.open = null;
+            each.drainBoxOne();
+            long until = each.untilTold();
+            assertTrue(until < GRACE, "silent for " + after + ": told after " + until);
+        }
+    }
+
     @Test
     void aRefusingAgentIsCalledWithoutAStorm() {
         start();
