Rules that routers agree on: a state machine, leases, a council by MicroRaft, simulated

Need: instances' marks merge, and what merges can contradict itself for as long as a cut lasts.

Design: yewdock.rules is a pure state machine over commands (prepare, force, withdraw), with compare-and-set by subject, idempotent by the change's id, a history, one canonical form and a chain of hashes. Between prepare and force a router acts by a value that neither the old nor the new contradicts (Kind). yewdock.lease: a router acts by what it holds for a lease counted from the sending of its call; the leader grants it only to who holds the last prepared change, and only after a majority has confirmed the leader in a round begun after the call came. A change takes force when every holder knows or is surely run out; a new leader lets one lease pass. yewdock.council: Raft by MicroRaft 0.7 with our loop, clock, disk, transport and codec, so that it runs in virtual time; an instance with an empty disk is another member to it (name#disk) and is taken in anew.

Rejected: a vote alone (a router that is cut off acts on); leases by timers at the leader alone (they need its clock to be told from the holders'); LEADER_LEASE queries of the library (they trust its clock, and a paused leader grants).

--- /dev/null
+++ b/src/main/java/yewdock/council/Council.java
@@ -0,0 +1,554 @@
+package yewdock.council;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.microraft.MembershipChangeMode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import yewdock.lease.Grants;
+import yewdock.lease.Lease;
+import yewdock.lease.LeaseTerms;
+import yewdock.rules.Refusal;
+import yewdock.rules.Rules;
+import yewdock.rules.View;
+import yewdock.wire.CouncilFrame;
+import yewdock.wire.Feed;
+import yewdock.wire.Founding;
+import yewdock.wire.Granted;
+import yewdock.wire.Proposal;
+import yewdock.wire.Proposed;
+import yewdock.wire.Renew;
+import yewdock.wire.RuleChange;
+import yewdock.wire.RuleCommand;
+import yewdock.wire.RuleOutcome;
+import yewdock.wire.Withdrawal;
+
+/**
+ * One instance's part in an agreement: it holds the rules and a lease to act by them, and if it is a member
+ * of the council it votes on changes, and grants leases while it leads. Everything happens on one loop; no
+ * decision about a request waits for any of it.
+ */
+public final class Council {
+    private static final long SECOND = 1_000_000;
+    private static final long ROUND_TIMEOUT = SECOND;
+    private static final long PROPOSAL_TIMEOUT = 2 * SECOND;
+    private static final long FORCE_AGAIN = SECOND;
+    private static final long HELLO_HOLDS = 2 * SECOND;
+
+    /**
+     * Who takes part.
+     *
+     * @param cluster the installation's name
+     * @param self this instance's
+     * @param members the instances that vote
+     */
+    public record Terms(String cluster, String self, List<String> members, LeaseTerms lease) {
+        public Terms {
+            members = members.stream().sorted().toList();
+        }
+    }
+
+    /** What an instance does for its part. */
+    public interface Instance {
+        /** Sends a frame to another instance, if it can be reached; never waits. */
+        void send(String instance, CouncilFrame frame);
+
+        /** Whether a connection to it stands. */
+        boolean reaches(String instance);
+
+        /** Act by this from now on; {@link Council#takenUp} once everything here does. */
+        void actBy(View view);
+
+        /** The lease holds until then, by the loop's clock. */
+        void leaseUntil(long until);
+
+        /** Something that operators should know: the event, and then names and values. */
+        void note(String event, Object... fields);
+    }
+
+    private final Terms terms;
+    private final Loop loop;
+    private final Instance instance;
+    private final RaftDisk disk;
+    private final Endpoint self;
+    private final long seed;
+    private final long incarnation;
+    private final Rules held = new Rules();
+    private final Lease lease;
+    private final Grants grants;
+    private final Feeds feeds = new Feeds();
+    private final Map<String, Long> fed = new HashMap<>();
+    private final Map<String, Long> forced = new HashMap<>();
+    private final Map<Long, Wait> proposals = new HashMap<>();
+    private final Map<String, Hello> fresh = new TreeMap<>();
+    private final TreeSet<String> strangers = new TreeSet<>();
+    private Member member;
+    private String leader;
+    private int nextAsked;
+    private long takenStep;
+    private long takenChain;
+    private long rounds;
+    private long lastRound;
+    private long roundUntil;
+    private long numbers;
+    private boolean changing;
+    private boolean closed;
+
+    /** A member said that its disk remembers no vote. */
+    private record Hello(String endpoint, long at) {
+    }
+
+    private record Wait(RuleChange change, Consumer<Proposed> answer, long until) {
+    }
+
+    /**
+     * Begins.
+     *
+     * @param disk where a member's log lies; null for one that doesn't vote
+     * @param seed for what is drawn; another one with each start
+     */
+    public Council(Terms terms, Loop loop, Instance instance, RaftDisk disk, long seed) throws IOException {
+        this.terms = terms;
+        this.loop = loop;
+        this.instance = instance;
+        this.disk = disk;
+        this.seed = seed;
+        this.incarnation = seed;
+        this.lease = new Lease(terms.lease());
+        this.grants = new Grants(terms.lease());
+        this.self = disk == null ? null : Endpoint.of(terms.self(), disk.number(Long.toHexString(seed)));
+        if (disk != null && disk.restored() != null) {
+            start(List.of());
+        }
+        tick();
+    }
+
+    /** Ends; a member says nothing more. */
+    public void close() {
+        closed = true;
+        if (member != null) {
+            member.close();
+        }
+    }
+
+    // ---- time
+
+    private void tick() {
+        if (closed) {
+            return;
+        }
+        renew();
+        if (disk != null && !votes()) {
+            greet();
+        }
+        if (member != null) {
+            take();
+            reconcile();
+        }
+        long now = loop.now();
+        List<Long> late = new ArrayList<>();
+        proposals.forEach((number, w) -> {
+            if (now >= w.until) {
+                late.add(number);
+            }
+        });
+        late.forEach(number -> proposed(Proposed.newBuilder().setNumber(number)
+                .setNobody("no leader has answered").build()));
+        loop.after(terms.lease().renewEvery(), this::tick);
+    }
+
+    // ---- the router's side: what it holds, and until when
+
+    /** What this instance holds of the rules. */
+    public Rules held() {
+        return held;
+    }
+
+    /** What the council has agreed, as far as this member knows; null at one that doesn't vote. */
+    public Rules agreed() {
+        return member == null ? null : member.rules();
+    }
+
+    /** Until when it may act by that, on the loop's clock. */
+    public long leaseUntil() {
+        return lease.until();
+    }
+
+    /** Whether it may act now. */
+    public boolean holds() {
+        return lease.holds(loop.now());
+    }
+
+    /** Who leads, as far as is known here; null for nobody. */
+    public String leader() {
+        return leader;
+    }
+
+    /** Whether this instance leads. */
+    public boolean leads() {
+        return member != null && member.leading();
+    }
+
+    /** Whether this instance votes, as far as it knows. */
+    public boolean votes() {
+        return member != null && Boolean.TRUE.equals(member.members().get(self.id()));
+    }
+
+    /** Everything here acts by the view of this step, or a later one. */
+    public void takenUp(long step, long chain) {
+        if (step > takenStep) {
+            boolean known = takenStep >= held.prepared();
+            takenStep = step;
+            takenChain = chain;
+            if (!known && takenStep >= held.prepared()) {
+                // a change that waits for us should not wait for the next regular call
+                renew();
+            }
+        }
+    }
+
+    private void renew() {
+        Renew.Builder call = Renew.newBuilder().setNumber(lease.asks(loop.now())).setStep(takenStep)
+                .setChain(takenChain).setIncarnation(incarnation);
+        String to = whoLeads();
+        if (to != null) {
+            send(to, CouncilFrame.newBuilder().setRenew(call).build());
+        }
+    }
+
+    /** The leader that is known, or members one after the other. */
+    private String whoLeads() {
+        if (member != null) {
+            leader = member.leader();
+        }
+        if (leader != null && (leader.equals(terms.self()) || instance.reaches(leader))) {
+            return leader;
+        }
+        leader = null;
+        for (int i = 0; i < terms.members().size(); i++) {
+            String one = terms.members().get(nextAsked++ % terms.members().size());
+            if (!one.equals(terms.self()) && instance.reaches(one)) {
+                return one;
+            }
+        }
+        return null;
+    }
+
+    private void send(String to, CouncilFrame frame) {
+        if (to.equals(terms.self())) {
+            loop.after(0, () -> heard(to, frame));
+        } else {
+            instance.send(to, frame);
+        }
+    }
+
+    private void fed(String from, Feed feed) {
+        if (!feed.getLeader().isEmpty() && member == null) {
+            leader = feed.getLeader();
+        }
+        long before = held.step();
+        if (feed.hasSnapshot()) {
+            if (feed.getSnapshot().getStep() > held.step()
+                    || feed.getSnapshot().getStep() == held.step()
+                    && feed.getSnapshot().getChain() != held.chain()) {
+                held.install(feed.getSnapshot());
+                before = -1;
+            }
+        } else if (feed.getAfter() <= held.step()) {
+            int known = (int) Math.min(feed.getCommandsCount(), held.step() - feed.getAfter());
+            for (ByteString bytes : feed.getCommandsList().subList(known, feed.getCommandsCount())) {
+                try {
+                    held.take(Rules.read(bytes.toByteArray()));
+                } catch (InvalidProtocolBufferException e) {
+                    instance.note("agreement.unreadable", "from", from, "why", e.getMessage());
+                    return;
+                }
+            }
+        }
+        if (held.step() != before) {
+            instance.actBy(held.view());
+        }
+    }
+
+    // ---- changes
+
+    /**
+     * Asks for a change; the answer comes once, on the loop: what became of its preparing, or that nobody
+     * took it, in which case the same change may be asked for again.
+     */
+    public void propose(RuleChange change, Consumer<Proposed> answer) {
+        Refusal flaw = Rules.flaw(change);
+        if (flaw != null) {
+            answer.accept(Proposed.newBuilder().setOutcome(RuleOutcome.newBuilder().setId(change.getId())
+                    .setRefusal(flaw.number())).build());
+            return;
+        }
+        long number = ++numbers;
+        proposals.put(number, new Wait(change, answer, loop.now() + PROPOSAL_TIMEOUT));
+        String to = whoLeads();
+        if (to == null) {
+            proposed(Proposed.newBuilder().setNumber(number).setNobody("no member can be reached").build());
+        } else {
+            send(to, CouncilFrame.newBuilder().setProposal(Proposal.newBuilder().setNumber(number)
+                    .setChange(change)).build());
+        }
+    }
+
+    private void proposed(Proposed answer) {
+        Wait wait = proposals.remove(answer.getNumber());
+        if (wait != null) {
+            wait.answer.accept(answer);
+        }
+    }
+
+    private void asked(String from, Proposal proposal) {
+        Proposed.Builder answer = Proposed.newBuilder().setNumber(proposal.getNumber());
+        if (!leads()) {
+            send(from, CouncilFrame.newBuilder().setProposed(answer.setNobody("it does not lead")).build());
+            return;
+        }
+        member.replicate(RuleCommand.newBuilder().setPrepare(proposal.getChange()).build())
+                .whenComplete((done, failed) -> {
+                    if (failed == null) {
+                        answer.setOutcome(done.getResult());
+                    } else {
+                        answer.setNobody(String.valueOf(failed.getMessage()));
+                    }
+                    send(from, CouncilFrame.newBuilder().setProposed(answer).build());
+                });
+    }
+
+    /** Asks for a change under way to be dropped; only at the instance that leads. */
+    public boolean withdraw(String id, String who) {
+        if (!leads()) {
+            return false;
+        }
+        member.replicate(RuleCommand.newBuilder().setWithdraw(Withdrawal.newBuilder().setId(id).setWho(who))
+                .build());
+        return true;
+    }
+
+    // ---- frames
+
+    /** A frame has come from this instance. */
+    public void heard(String from, CouncilFrame frame) {
+        if (closed) {
+            return;
+        }
+        switch (frame.getWhatCase()) {
+            case RAFT -> {
+                if (member != null && !member.heard(frame.getRaft()) && strangers.add(from)) {
+                    instance.note("agreement.other_council", "instance", from, "its",
+                            frame.getRaft().getGroup(), "ours", member.group());
+                }
+            }
+            case RENEW -> renewed(from, frame.getRenew());
+            case GRANTED -> granted(frame.getGranted());
+            case FEED -> fed(from, frame.getFeed());
+            case PROPOSAL -> asked(from, frame.getProposal());
+            case PROPOSED -> proposed(frame.getProposed());
+            case FOUNDING -> founding(from, frame.getFounding());
+            default -> {
+                // of a later program
+            }
+        }
+    }
+
+    private void granted(Granted g) {
+        if (g.getIncarnation() == incarnation) {
+            lease.granted(g.getNumber());
+            instance.leaseUntil(lease.until());
+        }
+    }
+
+    // ---- the leader's side
+
+    private void renewed(String from, Renew call) {
+        if (!leads()) {
+            String known = member == null ? null : member.leader();
+            if (known != null) {
+                send(from, CouncilFrame.newBuilder().setFeed(Feed.newBuilder().setLeader(known)).build());
+            }
+            return;
+        }
+        fed.put(from, call.getStep());
+        if (!feeds.same(call.getStep(), call.getChain())) {
+            instance.note("agreement.diverged", "instance", from, "step", call.getStep());
+            send(from, CouncilFrame.newBuilder().setFeed(Feeds.whole(member.rules()).toBuilder()
+                    .setLeader(terms.self())).build());
+            return;
+        }
+        feed(from, call.getStep());
+        grants.asked(new Grants.Ask(from, call.getIncarnation(), call.getNumber(), call.getStep()));
+        round();
+    }
+
+    private void feed(String to, long step) {
+        Feed feed = feeds.after(step, member.rules());
+        if (feed != null) {
+            send(to, CouncilFrame.newBuilder().setFeed(feed.toBuilder().setLeader(terms.self())).build());
+            fed.put(to, member.rules().step());
+        }
+    }
+
+    /** One round of confirming at a time, for all calls that wait. */
+    private void round() {
+        if (rounds != lastRound && loop.now() < roundUntil) {
+            return;
+        }
+        if (rounds != lastRound) {
+            grants.roundFailed();
+        }
+        if (!grants.beginRound()) {
+            return;
+        }
+        long mine = ++rounds;
+        roundUntil = loop.now() + ROUND_TIMEOUT;
+        member.confirm().whenComplete((done, failed) -> {
+            if (mine != rounds || lastRound == mine) {
+                return;
+            }
+            lastRound = mine;
+            if (failed != null) {
+                grants.roundFailed();
+                return;
+            }
+            for (Grants.Ask ask : grants.confirmed(member.rules().prepared(), loop.now())) {
+                send(ask.router(), CouncilFrame.newBuilder().setGranted(Granted.newBuilder()
+                        .setNumber(ask.number()).setIncarnation(ask.incarnation())).build());
+            }
+            take();
+            round();
+        });
+    }
+
+    /** Every member sees to what may take force, so that one that begins to lead knows since when. */
+    private void take() {
+        long now = loop.now();
+        forced.values().removeIf(at -> now - at >= FORCE_AGAIN);
+        for (String id : grants.due(member.rules().underWay(), now)) {
+            if (forced.putIfAbsent(id, now) == null) {
+                RuleCommand force = RuleCommand.newBuilder().setForce(id).build();
+                member.replicate(force).whenComplete((done, failed) -> {
+                    if (failed != null) {
+                        forced.remove(id);
+                    }
+                });
+            }
+        }
+    }
+
+    /** What all routers that ask here have not been told yet. */
+    private void feedAll() {
+        if (leads()) {
+            new HashMap<>(fed).forEach(this::feed);
+        }
+    }
+
+    // ---- members
+
+    private void start(List<String> founders) {
+        Member.Hearer hearer = new Member.Hearer() {
+            @Override
+            public void leads(boolean yes) {
+                fed.clear();
+                forced.clear();
+                if (yes) {
+                    grants.leads(loop.now());
+                } else {
+                    grants.follows();
+                }
+                instance.note(yes ? "agreement.leads" : "agreement.follows");
+            }
+
+            @Override
+            public void agreed(RuleCommand command) {
+                feeds.add(command, member.rules());
+            }
+
+            @Override
+            public void stepped() {
+                take();
+                feedAll();
+            }
+        };
+        member = new Member(loop, terms.cluster(), self, founders, disk, seed, hearer, (to, frame) ->
+                send(to, CouncilFrame.newBuilder().setRaft(frame).build()), instance::reaches);
+        instance.note("agreement.member", "council", member.group());
+    }
+
+    /**
+     * A member with nothing on its disk doesn't know whether there is a council. It says so until it votes:
+     * once it has heard of a council it learns from that, and the first of the members founds one when all
+     * of them are new.
+     */
+    private void greet() {
+        fresh.values().removeIf(h -> loop.now() - h.at >= HELLO_HOLDS);
+        fresh.put(terms.self(), new Hello(self.id(), loop.now()));
+        for (String other : terms.members()) {
+            if (!other.equals(terms.self())) {
+                send(other, CouncilFrame.newBuilder().setFounding(Founding.newBuilder()
+                        .setEndpoint(self.id())).build());
+            }
+        }
+        if (member == null && fresh.keySet().containsAll(terms.members())
+                && terms.members().get(0).equals(terms.self())) {
+            start(fresh.values().stream().map(Hello::endpoint).toList());
+        }
+    }
+
+    private void founding(String from, Founding news) {
+        if (disk == null || !terms.members().contains(from)) {
+            return;
+        }
+        if (news.getMembersCount() == 0) {
+            fresh.put(from, new Hello(news.getEndpoint(), loop.now()));
+            if (member != null) {
+                send(from, CouncilFrame.newBuilder().setFounding(Founding.newBuilder().setEndpoint(self.id())
+                        .addAllMembers(member.founders())).build());
+            }
+        } else if (member == null) {
+            start(news.getMembersList());
+        }
+    }
+
+    /** A member that has come back with an empty disk takes the place of the one that remembered. */
+    private void reconcile() {
+        if (!leads() || changing) {
+            return;
+        }
+        fresh.values().removeIf(h -> loop.now() - h.at >= HELLO_HOLDS);
+        Map<String, Boolean> now = member.members();
+        for (Map.Entry<String, Hello> one : fresh.entrySet()) {
+            String endpoint = one.getValue().endpoint;
+            String there = Member.of(now.keySet(), one.getKey());
+            if (there == null) {
+                change(endpoint, MembershipChangeMode.ADD_LEARNER);
+                return;
+            } else if (!there.equals(endpoint)) {
+                change(there, MembershipChangeMode.REMOVE_MEMBER);
+                return;
+            } else if (!now.get(there)) {
+                change(there, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
+                return;
+            }
+        }
+    }
+
+    private void change(String endpoint, MembershipChangeMode mode) {
+        changing = true;
+        instance.note("agreement.membership", "member", endpoint, "change", mode);
+        member.change(endpoint, mode).whenComplete((done, failed) -> {
+            changing = false;
+            if (failed != null) {
+                instance.note("agreement.membership_failed", "member", endpoint, "why", failed.getMessage());
+            }
+        });
+    }
+}
--- a/src/main/java/yewdock/log/Lines.java
+++ b/src/main/java/yewdock/log/Lines.java
@@ -22,6 +22,7 @@
  */
 public final class Lines implements LoggingProvider {
     private static volatile Say.Form form = Say.Form.TEXT;
+    private static final ThreadLocal<Boolean> ONLY_EVENTS = new ThreadLocal<>();
 
     private final PrintStream out = System.out;
     private final Context context = new Context();
@@ -31,6 +32,10 @@
         form = next;
     }
 
+    static void onlyEvents() {
+        ONLY_EVENTS.set(true);
+    }
+
     @Override
     public ContextProvider getContextProvider() {
         return context;
@@ -48,7 +53,8 @@
 
     @Override
     public boolean isEnabled(int depth, String tag, Level level) {
-        return level.ordinal() >= Level.INFO.ordinal();
+        Level least = ONLY_EVENTS.get() == null || context.get("event") != null ? Level.INFO : Level.ERROR;
+        return level.ordinal() >= least.ordinal();
     }
 
     @Override
--- a/src/main/java/yewdock/log/Say.java
+++ b/src/main/java/yewdock/log/Say.java
@@ -22,6 +22,13 @@
         Lines.as(form);
     }
 
+    /**
+     * Of what libraries say on this thread, only errors count from now on: one of them tells its every step.
+     */
+    public static void onlyEvents() {
+        Lines.onlyEvents();
+    }
+
     /** A line with fields given as name and value by turns. */
     public static void info(String event, Object... fields) {
         say(Level.INFO, event, Fields.of(fields));
--- /dev/null
+++ b/src/main/java/yewdock/proof/CouncilSim.java
@@ -0,0 +1,479 @@
+package yewdock.proof;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import yewdock.council.Council;
+import yewdock.council.Loop;
+import yewdock.council.RaftDisk;
+import yewdock.lease.LeaseTerms;
+import yewdock.log.Say;
+import yewdock.rules.Kind;
+import yewdock.rules.View;
+import yewdock.store.Shelf;
+import yewdock.store.StoreException;
+import yewdock.wire.CouncilFrame;
+import yewdock.wire.Proposed;
+import yewdock.wire.RuleChange;
+import yewdock.wire.RuleValue;
+
+/**
+ * Routers that agree, in virtual time: members and followers, each with a clock and a disk of its own,
+ * between them a network that loses, doubles, delays and cuts, one way or both. {@link CouncilJudge} looks
+ * at every decision. One seed, one run.
+ */
+public final class CouncilSim {
+    /** What can be made wrong on purpose, to see that the judge sees it. */
+    public enum Plant {
+        NONE, LEASE_TWICE, LEASE_CUT_SHORT_AT_MEMBERS, ACK_BEFORE_SYNC, CLOCK_AT_HALF, TIMER_ALONE
+    }
+
+    static final long SECOND = 1_000_000;
+    private static final long AGREED_WITHIN = 3 * SECOND;
+    private static final double DRIFT = 0.001;
+    private static final long DECIDE_EVERY = 25_000;
+    private static final long LATENCY = 2_000;
+    private static final int BOXES = 4;
+
+    private final SplittableRandom random;
+    private final Plant plant;
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private final List<Host> hosts = new ArrayList<>();
+    private final List<String> members;
+    private final Set<String> cut = new HashSet<>();
+    private final CouncilJudge judge = new CouncilJudge(AGREED_WITHIN);
+    private long now;
+    private long order;
+    private double loss;
+    private long sent;
+    private int changes;
+    private int asked;
+    private long disks;
+
+    private record Task(long at, long order, Runnable work) implements Comparable<Task> {
+        @Override
+        public int compareTo(Task other) {
+            int by = Long.compare(at, other.at);
+            return by != 0 ? by : Long.compare(order, other.order);
+        }
+    }
+
+    /** So many members and followers. */
+    public CouncilSim(int members, int followers, long seed, Plant plant) {
+        Say.onlyEvents();
+        this.random = new SplittableRandom(seed);
+        this.plant = plant;
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < members + followers; i++) {
+            names.add(String.format("r%03d", i));
+        }
+        this.members = names.subList(0, members);
+        for (String name : names) {
+            hosts.add(new Host(name));
+        }
+        hosts.forEach(Host::start);
+        at(0, this::decide);
+    }
+
+    private void at(long delay, Runnable work) {
+        tasks.add(new Task(now + delay, ++order, work));
+    }
+
+    /** Lets so much time pass. */
+    public void run(long micros) {
+        long until = now + micros;
+        while (!tasks.isEmpty() && tasks.peek().at <= until) {
+            Task task = tasks.poll();
+            now = task.at;
+            task.work.run();
+        }
+        now = until;
+    }
+
+    /** The judge of this run. */
+    public CouncilJudge judge() {
+        return judge;
+    }
+
+    /** Messages sent so far. */
+    public long sent() {
+        return sent;
+    }
+
+    /** Changes that were asked for. */
+    public int asked() {
+        return asked;
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public int size() {
+        return hosts.size();
+    }
+
+    /** An instance, members first. */
+    public Host host(int number) {
+        return hosts.get(number);
+    }
+
+    /** The instance that leads, or null. */
+    public Host leader() {
+        return hosts.stream().filter(h -> h.council != null && !h.paused && h.council.leads()).findFirst()
+                .orElse(null);
+    }
+
+    /** Nothing goes from the one to the other any more. */
+    public void cut(Host from, Host to) {
+        cut.add(from.name + ">" + to.name);
+    }
+
+    /** Nothing goes between this one and the others, in one direction or both. */
+    public void cutOff(Host one, boolean in, boolean out) {
+        for (Host h : hosts) {
+            if (h != one && out) {
+                cut(one, h);
+            }
+            if (h != one && in) {
+                cut(h, one);
+            }
+        }
+    }
+
+    /** All cuts and losses end, all that are paused or dead go on. */
+    public void heal() {
+        cut.clear();
+        loss = 0;
+        for (Host h : hosts) {
+            h.resume();
+            if (h.council == null) {
+                h.start();
+            }
+        }
+    }
+
+    /** Of all messages this part is lost. */
+    public void lose(double part) {
+        loss = part;
+    }
+
+    /** One trouble after the other, drawn from the seed, with changes all along; ends whole. */
+    public void trouble(long micros) {
+        long until = now + micros;
+        while (now < until) {
+            switch (random.nextInt(9)) {
+                case 0 -> cutOff(any(), true, true);
+                case 1 -> cutOff(any(), random.nextBoolean(), true);
+                case 2 -> cut(any(), any());
+                case 3 -> any().pause((long) (SECOND * Math.exp(random.nextDouble() * 4 - 2)));
+                case 4 -> any().kill();
+                case 5 -> lose(random.nextDouble() * 0.3);
+                case 6 -> {
+                    Host l = leader();
+                    if (l != null) {
+                        propose(any());
+                        run(random.nextLong(10_000));
+                        cutOff(l, true, random.nextBoolean());
+                    }
+                }
+                case 7 -> {
+                    Host l = leader();
+                    if (l != null) {
+                        l.kill();
+                    }
+                }
+                default -> heal();
+            }
+            for (int i = 0; i < 3; i++) {
+                run(random.nextLong(SECOND / 2));
+                propose(any());
+            }
+        }
+        heal();
+    }
+
+    private Host any() {
+        return hosts.get(random.nextInt(hosts.size()));
+    }
+
+    /** Somebody wants another value of some subject. */
+    public void propose(Host at) {
+        if (at.council == null || at.paused) {
+            return;
+        }
+        String box = "b" + random.nextInt(BOXES);
+        String subject = Kind.BOX.subject(box);
+        RuleChange.Builder change = RuleChange.newBuilder().setId("c" + ++changes).setWho("staff")
+                .setSubject(subject).setBase(at.council.held().revision(subject));
+        if (!at.council.held().view().out().contains(box)) {
+            change.setValue(RuleValue.newBuilder().setOut(true));
+        }
+        propose(at, change.build(), 3);
+    }
+
+    /** The same change again where nobody took it: it must be applied once. */
+    private void propose(Host at, RuleChange change, int tries) {
+        asked++;
+        CouncilJudge.Call call = judge.asks(change, now);
+        at.council.propose(change, (Proposed answer) -> {
+            judge.answered(call, answer, now);
+            if (answer.hasOutcome() && random.nextInt(4) == 0 || !answer.hasOutcome() && tries > 1) {
+                at(random.nextLong(SECOND), () -> {
+                    if (at.council != null && !at.paused && tries > 1) {
+                        propose(at, change, tries - 1);
+                    }
+                });
+            }
+        });
+    }
+
+    /** Every router that runs decides about each box. */
+    private void decide() {
+        for (Host h : hosts) {
+            if (h.council != null && !h.paused) {
+                boolean may = plant == Plant.TIMER_ALONE ? h.leased : h.council.holds();
+                judge.decides(h.name, may, h.council.held().step(), h.view, now);
+            }
+        }
+        at(DECIDE_EVERY, this::decide);
+    }
+
+    /** An instance: its clock, its disk, its process. */
+    public final class Host implements Loop, Council.Instance {
+        private final String name;
+        private final double rate;
+        private final long offset;
+        private final List<Runnable> held = new ArrayList<>();
+        private Disk disk = new Disk();
+        private Council council;
+        private View view = View.NOTHING;
+        private boolean paused;
+        private boolean leased;
+        private int life;
+        private long until;
+
+        Host(String name) {
+            this.name = name;
+            boolean slow = plant == Plant.CLOCK_AT_HALF && name.equals("r000");
+            this.rate = slow ? 0.5 : 1 + (random.nextDouble() * 2 - 1) * DRIFT;
+            this.offset = random.nextLong(1_000 * SECOND);
+        }
+
+        public String name() {
+            return name;
+        }
+
+        /** Its process, null while it is dead. */
+        public Council council() {
+            return council;
+        }
+
+        private LeaseTerms lease() {
+            LeaseTerms right = LeaseTerms.within(AGREED_WITHIN, DRIFT);
+            if (plant == Plant.LEASE_TWICE && name.equals("r001")) {
+                return new LeaseTerms(2 * right.length(), DRIFT);
+            }
+            return plant == Plant.LEASE_CUT_SHORT_AT_MEMBERS && members.contains(name)
+                    ? new LeaseTerms(right.length() / 20, DRIFT) : right;
+        }
+
+        /** A new process on the disk that is there. */
+        public void start() {
+            life++;
+            view = View.NOTHING;
+            leased = false;
+            try {
+                council = new Council(new Council.Terms("sim", name, members, lease()), this, this,
+                        members.contains(name) ? new RaftDisk(disk) : null, random.nextLong() >>> 1);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        /** The process dies at once; what was not synced is lost. */
+        public void kill() {
+            life++;
+            if (council != null) {
+                council.close();
+            }
+            council = null;
+            held.clear();
+            paused = false;
+            disk.crash();
+        }
+
+        /** Dies, and comes back with an empty disk. */
+        public void wipe() {
+            kill();
+            disk = new Disk();
+        }
+
+        /** Stands still for so long, as a stopped process does. */
+        public void pause(long micros) {
+            if (council != null && !paused) {
+                paused = true;
+                int mine = life;
+                at(micros, () -> {
+                    if (mine == life) {
+                        resume();
+                    }
+                });
+            }
+        }
+
+        /** Goes on with what has come meanwhile. */
+        public void resume() {
+            if (paused) {
+                paused = false;
+                List<Runnable> all = new ArrayList<>(held);
+                held.clear();
+                if (council != null) {
+                    // the first thing that a woken process does may be to take a decision
+                    judge.decides(name, plant == Plant.TIMER_ALONE ? leased : council.holds(),
+                            council.held().step(), view, now);
+                }
+                all.forEach(Runnable::run);
+            }
+        }
+
+        private void whenRunning(int inLife, Runnable work) {
+            if (inLife != life) {
+                return;
+            }
+            if (paused) {
+                held.add(() -> whenRunning(inLife, work));
+            } else {
+                work.run();
+                if (council != null && members.contains(name)) {
+                    judge.stands(name, council, now);
+                }
+            }
+        }
+
+        @Override
+        public long now() {
+            return offset + (long) (now * rate);
+        }
+
+        @Override
+        public void after(long micros, Runnable task) {
+            int mine = life;
+            at((long) Math.ceil(micros / rate), () -> whenRunning(mine, task));
+        }
+
+        @Override
+        public void send(String to, CouncilFrame frame) {
+            sent++;
+            if (cut.contains(name + ">" + to) || random.nextDouble() < loss) {
+                return;
+            }
+            byte[] bytes = frame.toByteArray();
+            Host target = hosts.stream().filter(h -> h.name.equals(to)).findFirst().orElseThrow();
+            int copies = loss > 0 && random.nextInt(20) == 0 ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                long late = loss > 0 && random.nextInt(10) == 0 ? random.nextLong(SECOND) : 0;
+                at(LATENCY / 2 + random.nextLong(LATENCY) + late, () -> target.receive(name, bytes));
+            }
+        }
+
+        private void receive(String from, byte[] bytes) {
+            if (council == null) {
+                return;
+            }
+            whenRunning(life, () -> {
+                try {
+                    council.heard(from, CouncilFrame.parseFrom(bytes));
+                } catch (InvalidProtocolBufferException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+        }
+
+        @Override
+        public boolean reaches(String instance) {
+            return true;
+        }
+
+        @Override
+        public void actBy(View next) {
+            view = next;
+            council.takenUp(next.step(), council.held().chain());
+        }
+
+        @Override
+        public void leaseUntil(long end) {
+            until = end;
+            leased = true;
+            after(Math.max(0, end - now()), () -> leased = now() < until);
+        }
+
+        @Override
+        public void note(String event, Object... fields) {
+            judge.notes(event, name + " " + Arrays.toString(fields), now);
+        }
+    }
+
+    /** A disk in memory, which keeps nothing that was not synced. */
+    private final class Disk implements Shelf {
+        private final TreeMap<String, byte[]> kept = new TreeMap<>();
+        private Map<String, byte[]> unsynced = new HashMap<>();
+        private final long number = ++disks;
+
+        @Override
+        public SortedMap<String, byte[]> all() {
+            return new TreeMap<>(kept);
+        }
+
+        @Override
+        public long write(Map<String, byte[]> changes) throws StoreException {
+            if (plant == Plant.ACK_BEFORE_SYNC) {
+                unsynced.putAll(changes);
+                return number;
+            }
+            keep(changes);
+            return number;
+        }
+
+        private void keep(Map<String, byte[]> changes) {
+            changes.forEach((k, v) -> {
+                if (v == null) {
+                    kept.remove(k);
+                } else {
+                    kept.put(k, v);
+                }
+            });
+        }
+
+        /** With acks before the sync, a crash finds the last writes lost. */
+        void crash() {
+            unsynced = new HashMap<>();
+        }
+
+        @Override
+        public void tidy(int mostMillis) {
+            // takes no room
+        }
+
+        @Override
+        public long bytes() {
+            return 0;
+        }
+
+        @Override
+        public void close() {
+            // stays
+        }
+    }
+}
--- a/src/test/java/yewdock/PackagesTest.java
+++ b/src/test/java/yewdock/PackagesTest.java
@@ -18,6 +18,7 @@
     private static final List<String> DOWNWARD = List.of("yewdock", "umberspread.adapter", "yewdock.proof",
             "yewdock.standin", "yewdock.experiment", "yewdock.scenario", "yewdock.model", "yewdock.textbook",
             "yewdock.daemon", "yewdock.upgrade", "yewdock.replica",
+            "yewdock.council", "yewdock.lease", "yewdock.rules",
             "yewdock.state", "yewdock.wire", "yewdock.store", "yewdock.settings",
             "yewdock.sockets", "yewdock.door", "yewdock.platform",
             "yewdock.http", "yewdock.desk", "umberspread",
--- /dev/null
+++ b/src/test/java/yewdock/lease/GrantsTest.java
@@ -0,0 +1,100 @@
+package yewdock.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class GrantsTest {
+    private static final long SECOND = 1_000_000;
+    private static final LeaseTerms TERMS = new LeaseTerms(2 * SECOND, 0.001);
+    private final Grants grants = new Grants(TERMS);
+
+    private static Grants.Ask ask(String router, long step) {
+        return new Grants.Ask(router, 1, 1, step);
+    }
+
+    private List<Grants.Ask> granted(long lastPrepared, long now, Grants.Ask... asks) {
+        for (Grants.Ask a : asks) {
+            grants.asked(a);
+        }
+        assertTrue(grants.beginRound());
+        return grants.confirmed(lastPrepared, now);
+    }
+
+    @Test
+    void aLeaseRunsFromTheSendingOfItsCall() {
+        Lease lease = new Lease(TERMS);
+        long number = lease.asks(5 * SECOND);
+        assertFalse(lease.holds(5 * SECOND));
+        lease.granted(number);
+        assertTrue(lease.holds(7 * SECOND - 1));
+        assertFalse(lease.holds(7 * SECOND));
+        lease.granted(number);
+        lease.granted(99);
+        assertEquals(7 * SECOND, lease.until());
+        long second = lease.asks(6 * SECOND);
+        lease.asks(9 * SECOND);
+        lease.granted(second);
+        assertEquals(7 * SECOND, lease.until(), "an answer that comes a lease late is worth nothing");
+    }
+
+    @Test
+    void aRouterThatDoesNotKnowTheLastChangeGetsNoLease() {
+        grants.leads(0);
+        assertEquals(List.of(ask("b", 7)), granted(7, SECOND, ask("a", 6), ask("b", 7)));
+    }
+
+    /** Else a leader that others have replaced could be taken for confirmed by what it heard before. */
+    @Test
+    void aCallThatComesDuringARoundWaitsForTheNext() {
+        grants.leads(0);
+        grants.asked(ask("a", 0));
+        assertTrue(grants.beginRound());
+        grants.asked(ask("b", 0));
+        assertFalse(grants.beginRound());
+        assertEquals(List.of(ask("a", 0)), grants.confirmed(0, 1));
+        assertTrue(grants.beginRound());
+        assertEquals(List.of(ask("b", 0)), grants.confirmed(0, 2));
+    }
+
+    @Test
+    void aChangeTakesForceOnceAllHoldersKnowOrAreRunOut() {
+        grants.leads(0);
+        long now = TERMS.runOut();
+        granted(0, now, ask("a", 0), ask("b", 0));
+        Map<String, Long> under = Map.of("c", 1L);
+        assertEquals(List.of(), grants.due(under, now));
+        granted(1, now + 1, ask("a", 1));
+        assertEquals(List.of(), grants.due(under, now + 1));
+        assertEquals(List.of("c"), grants.due(under, now + TERMS.runOut()));
+        grants.due(Map.of(), now);
+        granted(1, now + SECOND, ask("b", 1));
+        assertEquals(List.of("c"), grants.due(under, now + SECOND));
+    }
+
+    /** An older process of the router may be asleep, with its lease. */
+    @Test
+    void anotherProcessOfTheSameRouterIsAnotherHolder() {
+        grants.leads(0);
+        long now = TERMS.runOut();
+        granted(0, now, new Grants.Ask("a", 1, 1, 0));
+        granted(1, now, new Grants.Ask("a", 2, 1, 1));
+        assertEquals(List.of(), grants.due(Map.of("c", 1L), now));
+    }
+
+    @Test
+    void aLeaderThatTookOverLetsOneLeasePass() {
+        assertEquals(List.of(), grants.due(Map.of("c", 1L), 0));
+        grants.leads(TERMS.runOut() - 1);
+        assertEquals(List.of(), grants.due(Map.of("c", 1L), TERMS.runOut() - 1));
+        assertEquals(List.of("c"), grants.due(Map.of("c", 1L), TERMS.runOut()));
+        grants.follows();
+        assertEquals(List.of(), grants.due(Map.of("c", 1L), TERMS.runOut()));
+        grants.asked(ask("a", 1));
+        assertFalse(grants.beginRound());
+    }
+}
