Daemons agree on drains: council, leases and in-doubt refusal on processes, off by default

Need: a drain told to one instance has to hold at all, or be known not to, whatever fails between them.

Design: daemon.Agreement is one loop on one thread in the keeper, so that upgrades replace none of it; its frames ride the copies' connections. Generations are sent the marks and after them the step and until when they may act; they answer when they do, and a lease is asked for by the step that all of them act by. Off unless agreement.members is set; serve reads none of it. Rejected: telling generations by a file or a timer (a stopped process would act on); refusing by mark alone, without a lease.

Not agreed yet: shares, settings, versions of the box list; policies; freezes.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -79,3 +79,21 @@
   # So many removals are remembered even when all peers are known to have them, 0 to 1000000.
   most_removals = 10000
 }
+
+agreement {
+  # The instances that vote on rules, three or five of this one and copies.peers, the same in every instance's file.
+  # Every other instance follows. []: nothing is agreed, and marks are copied as they are told. Needs store.folder:
+  # an instance that votes keeps the council's log in the folder "council" in it, and may not lose it lightly.
+  members = []
+
+  # So long after a change was prepared no router acts by what held before, whatever fails, in seconds, 1 to 600.
+  # The lease is 0.8 of it: a router that hears of no majority for that long is in doubt.
+  agreed_within_s = 3
+
+  # No monotonic clock gains or loses more than this part of the time that passes, 0 to 0.01.
+  drift = 0.001
+
+  # What a router in doubt does: "refuse" all new work, with a time to come back, or "serve" on by what it held last.
+  # With "serve" the stated time is not kept by a router that is cut off.
+  in_doubt = "refuse"
+}
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -61,11 +61,11 @@
     @Command(name = "yewdock", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "A request router for fleets of model boxes.", synopsisSubcommandLabel = "COMMAND",
             footer = "Exit codes: 0 done, 1 failed, 2 bad usage.",
-            subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class, Check.class,
-                Demo.class, LoadTool.class, Proof.class, StoreCommands.Drain.class,
-                StoreCommands.Undrain.class, StoreCommands.Marks.class, StoreCommands.Stores.class,
-                Replacements.class, StoreProofs.class, Deployments.class, ModelCommands.Models.class,
-                ModelCommands.Experiments.class})
+            subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class,
+                RulesShown.class, Check.class, Demo.class, LoadTool.class, Proof.class,
+                StoreCommands.Drain.class, StoreCommands.Undrain.class, StoreCommands.Marks.class,
+                StoreCommands.Stores.class, Replacements.class, StoreProofs.class, Deployments.class,
+                ModelCommands.Models.class, ModelCommands.Experiments.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -187,6 +187,20 @@
         }
     }
 
+    @Command(name = "rules", mixinStandardHelpOptions = true,
+            description = "What the running daemon holds of the agreed rules, and the last changes of them.")
+    static final class RulesShown implements Callable<Integer> {
+        private static final long ANSWER_MILLIS = 5_000;
+        @CommandLine.Mixin
+        private SettingsFile settings;
+
+        @Override
+        public Integer call() throws Exception {
+            return Operator.ask(settings.read().daemon().control(), "rules", List.of(), ANSWER_MILLIS,
+                    System.out::println);
+        }
+    }
+
     @Command(name = "check", mixinStandardHelpOptions = true,
             description = "Checks a settings file (.hcl) or a configuration of the platform's (.json), "
             + "and tells what it switches on and what of it can't be used.")
--- a/src/main/java/yewdock/StoreCommands.java
+++ b/src/main/java/yewdock/StoreCommands.java
@@ -29,18 +29,24 @@
 
     /** A mark on a box, told to the daemon; done once it is on the disk. */
     abstract static class Marking implements Callable<Integer> {
-        private static final long ANSWER_MILLIS = 10_000;
+        private static final long ANSWER_MILLIS = 20_000;
         @CommandLine.Mixin
         private Commands.SettingsFile settings;
         @Parameters(paramLabel = "BOX", description = "its name on the box list")
         private String box;
+        @CommandLine.Option(names = "--here",
+                description = "where rules are agreed: without the others, for when no majority is there")
+        private boolean here;
+        @CommandLine.Option(names = "--why", description = "where rules are agreed: kept in their history")
+        private String why = "";
 
         abstract String command();
 
         @Override
         public final Integer call() throws Exception {
-            return Operator.ask(settings.read().daemon().control(), command(), List.of(box), ANSWER_MILLIS,
-                    System.out::println);
+            return Operator.ask(settings.read().daemon().control(), command(),
+                    here ? List.of(box, "--here") : why.isEmpty() ? List.of(box) : List.of(box, why),
+                    ANSWER_MILLIS, System.out::println);
         }
     }
 
--- /dev/null
+++ b/src/main/java/yewdock/daemon/Agreement.java
@@ -0,0 +1,398 @@
+package yewdock.daemon;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import yewdock.council.Council;
+import yewdock.council.Loop;
+import yewdock.council.RaftDisk;
+import yewdock.lease.LeaseTerms;
+import yewdock.log.Say;
+import yewdock.rules.Kind;
+import yewdock.rules.Refusal;
+import yewdock.rules.Rules;
+import yewdock.rules.View;
+import yewdock.settings.OperatorSettings;
+import yewdock.store.Store;
+import yewdock.store.StoreException;
+import yewdock.wire.Agreed;
+import yewdock.wire.Answer;
+import yewdock.wire.CouncilFrame;
+import yewdock.wire.Frame;
+import yewdock.wire.HistoryLine;
+import yewdock.wire.PeerFrame;
+import yewdock.wire.Proposed;
+import yewdock.wire.RuleChange;
+import yewdock.wire.RuleOutcome;
+import yewdock.wire.RuleValue;
+import yewdock.wire.SubjectState;
+
+/**
+ * A daemon's part in an agreement: one loop on one thread, beside the keeper's, that outlives upgrades. The
+ * generations are told by which rules and until when they may act, and say when they do; a generation that
+ * hangs holds the lease up, for nobody knows by what it acts.
+ */
+final class Agreement implements Council.Instance, Loop, Closeable {
+    /** An operator's word for a mark of this instance's own, without asking the others. */
+    static final String HERE = "--here";
+    private static final String LOG = "council";
+    private static final long TRY_AGAIN = 200_000;
+    private static final long FORCE_PATIENCE = 15_000_000;
+    private static final long STATUS_MILLIS = 1_000;
+    private static final int ID_BYTES = 8;
+    private static final int SHOWN = 20;
+
+    private final OperatorSettings settings;
+    private final Consumer<Set<String>> boxesOut;
+    private final ScheduledThreadPoolExecutor loop;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<Integer, Told> generations = new HashMap<>();
+    private final List<Asked> waiting = new ArrayList<>();
+    private Peers peers;
+    private Council council;
+    private Store store;
+    private View view = View.NOTHING;
+    private long chain;
+    private long until = Long.MIN_VALUE;
+
+    /** A generation that acts by what it is told, and the step that it has said it acts by. */
+    private static final class Told {
+        private final Link link;
+        private long step;
+
+        Told(Link link) {
+            this.link = link;
+        }
+    }
+
+    /** An operator's change, until it is in force. */
+    private record Asked(RuleChange change, long patience, Consumer<Answer> answer) {
+    }
+
+    /** For this operator's file; boxes that get nothing new go to boxesOut. */
+    Agreement(OperatorSettings settings, Consumer<Set<String>> boxesOut) {
+        this.settings = settings;
+        this.boxesOut = boxesOut;
+        this.loop = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "agreement");
+            thread.setDaemon(true);
+            return thread;
+        });
+        loop.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        after(0, Say::onlyEvents);
+    }
+
+    /** Begins to take part, over these connections. */
+    void begin(Peers over) throws IOException {
+        peers = over;
+        OperatorSettings.Agreement a = settings.agreement();
+        String self = settings.copies().instance();
+        RaftDisk disk = null;
+        if (a.members().contains(self)) {
+            Path folder = settings.store().folder().resolve(LOG);
+            try {
+                store = Store.open(folder);
+            } catch (StoreException e) {
+                throw new IOException("the council's log in " + folder + " can't be opened: " + e.getMessage()
+                        + "; an instance that has lost it is put in anew with an empty folder", e);
+            }
+            disk = new RaftDisk(store);
+        }
+        RaftDisk mine = disk;
+        long seed = random.nextLong() >>> 1;
+        after(0, () -> {
+            try {
+                council = new Council(new Council.Terms(settings.copies().cluster(), self, a.members(),
+                        LeaseTerms.within(a.agreedWithin(), a.drift())), this, this, mine, seed);
+            } catch (IOException e) {
+                Say.warn("agreement.broken", "why", e.getMessage());
+            }
+        });
+    }
+
+    // ---- the loop
+
+    @Override
+    public long now() {
+        return System.nanoTime() / 1000;
+    }
+
+    @Override
+    public void after(long micros, Runnable task) {
+        try {
+            loop.schedule(() -> {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    Say.warn("agreement.fault", "why", e, "at", e.getStackTrace().length > 0
+                            ? e.getStackTrace()[0] : "");
+                }
+            }, micros, TimeUnit.MICROSECONDS);
+        } catch (RejectedExecutionException e) {
+            // it has ended
+        }
+    }
+
+    // ---- other instances
+
+    /** A frame of another instance's. */
+    void heard(String peer, CouncilFrame frame) {
+        after(0, () -> {
+            if (council != null) {
+                council.heard(peer, frame);
+            }
+        });
+    }
+
+    @Override
+    public void send(String instance, CouncilFrame frame) {
+        peers.send(instance, PeerFrame.newBuilder().setCouncil(frame).build());
+    }
+
+    @Override
+    public boolean reaches(String instance) {
+        return peers.up(instance);
+    }
+
+    @Override
+    public void note(String event, Object... fields) {
+        Say.info(event, fields);
+    }
+
+    // ---- generations
+
+    /** A generation that is ready is told; one that says what it acts by is believed. */
+    void heard(int generation, Link link, Frame frame) {
+        if (frame.hasReady()) {
+            after(0, () -> {
+                Told told = new Told(link);
+                generations.put(generation, told);
+                boxesOut.accept(view.out());
+                tell(told);
+            });
+        } else if (frame.hasTakenUp()) {
+            after(0, () -> {
+                Told told = generations.get(generation);
+                if (told != null) {
+                    told.step = Math.max(told.step, frame.getTakenUp().getStep());
+                    takenUp();
+                }
+            });
+        }
+    }
+
+    /** A generation is no more, and acts by nothing. */
+    void gone(int generation) {
+        after(0, () -> {
+            generations.remove(generation);
+            takenUp();
+        });
+    }
+
+    private void takenUp() {
+        if (council != null && generations.values().stream().allMatch(t -> t.step >= view.step())) {
+            council.takenUp(view.step(), chain);
+        }
+    }
+
+    @Override
+    public void actBy(View next) {
+        view = next;
+        chain = council.held().chain();
+        // the marks first, on the same connections: who has heard of the step acts by it
+        boxesOut.accept(next.out());
+        generations.values().forEach(this::tell);
+        takenUp();
+        settle();
+    }
+
+    @Override
+    public void leaseUntil(long end) {
+        until = end;
+        generations.values().forEach(this::tell);
+    }
+
+    private void tell(Told told) {
+        told.link.send(Frame.newBuilder().setAgreed(Agreed.newBuilder().setStep(view.step()).setChain(chain)
+                .setUntil(settings.agreement().serveInDoubt() ? Long.MAX_VALUE : until)).build());
+    }
+
+    // ---- operators
+
+    /** An operator's command; false if it is none that goes through the agreement. Answers may come later. */
+    boolean asked(String command, List<String> words, Predicate<String> known, Consumer<Answer> answer) {
+        boolean drain = command.equals("drain");
+        if (command.equals("rules")) {
+            after(0, () -> show(answer));
+            return true;
+        }
+        if (!drain && !command.equals("undrain")) {
+            return false;
+        }
+        if (words.size() == 2 && words.get(1).equals(HERE)) {
+            Say.warn("mark.without_agreement", "box", words.get(0), "command", command);
+            return false;
+        }
+        if (words.isEmpty()) {
+            answer.accept(last("one box is to be named", 1));
+            return true;
+        }
+        String box = words.get(0);
+        if (drain && !known.test(box)) {
+            answer.accept(last("no box of the name " + box + " is known", 1));
+            return true;
+        }
+        byte[] id = new byte[ID_BYTES];
+        random.nextBytes(id);
+        RuleChange.Builder change = RuleChange.newBuilder().setId(HexFormat.of().formatHex(id))
+                .setWho(settings.copies().instance()).setWall(System.currentTimeMillis() * 1000)
+                .setWhy(words.size() > 1 ? words.get(1) : "").setSubject(Kind.BOX.subject(box));
+        if (drain) {
+            change.setValue(RuleValue.newBuilder().setOut(true));
+        }
+        after(0, () -> {
+            if (council == null) {
+                answer.accept(last("this instance takes no part: see agreement.broken in its log", 1));
+                return;
+            }
+            change.setBase(council.held().revision(change.getSubject()));
+            propose(new Asked(change.build(), now() + FORCE_PATIENCE, answer));
+        });
+        return true;
+    }
+
+    /** Asked for again, with the same id, until somebody takes it. */
+    private void propose(Asked asked) {
+        council.propose(asked.change, (Proposed said) -> {
+            RuleOutcome outcome = said.getOutcome();
+            if (!said.hasOutcome() && now() < asked.patience) {
+                after(TRY_AGAIN, () -> propose(asked));
+            } else if (!said.hasOutcome()) {
+                asked.answer.accept(last("not agreed: " + said.getNobody()
+                        + "; see the council in status, or mark the box at each instance with " + HERE, 1));
+            } else if (outcome.getRefusal() != 0) {
+                Refusal refusal = Refusal.of(outcome.getRefusal());
+                asked.answer.accept(last("not agreed: " + (refusal == null ? "refused by a later program"
+                        : refusal.text()), refusal == Refusal.SAME ? 0 : 1));
+            } else {
+                waiting.add(asked);
+                settle();
+                after(Math.max(0, asked.patience - now()), this::settle);
+            }
+        });
+    }
+
+    /** Tells operators whose changes are in force here. */
+    private void settle() {
+        waiting.removeIf(asked -> {
+            RuleOutcome outcome = council.held().outcome(asked.change.getId());
+            if (outcome != null && outcome.getRevision() > 0) {
+                asked.answer.accept(last(Kind.name(asked.change.getSubject())
+                        + (asked.change.hasValue() ? " drains" : " has no mark any more")
+                        + " by agreement, revision " + outcome.getRevision(), 0));
+                return true;
+            }
+            if (now() >= asked.patience) {
+                asked.answer.accept(last("agreed, and not in force yet: it takes force by itself", 1));
+                return true;
+            }
+            return false;
+        });
+    }
+
+    private void show(Consumer<Answer> answer) {
+        if (council != null) {
+            Rules held = council.held();
+            for (SubjectState s : held.subjects()) {
+                answer.accept(line(s.getSubject() + " = " + text(s.hasValue() ? s.getValue() : null)
+                        + ", revision " + s.getRevision() + (s.hasPending() ? ", under way: "
+                        + text(s.getPending().hasValue() ? s.getPending().getValue() : null) + " by "
+                        + s.getPending().getWho() : "")));
+            }
+            List<HistoryLine> history = held.history();
+            for (HistoryLine h : history.subList(Math.max(0, history.size() - SHOWN), history.size())) {
+                answer.accept(line("revision " + h.getRevision() + ": " + h.getChange().getSubject() + " = "
+                        + text(h.getChange().hasValue() ? h.getChange().getValue() : null) + " by "
+                        + h.getChange().getWho() + (h.getChange().getWhy().isEmpty() ? ""
+                        : ": " + h.getChange().getWhy())));
+            }
+        }
+        answer.accept(last("step " + view.step() + ", chain " + Long.toHexString(chain), 0));
+    }
+
+    private static String text(RuleValue value) {
+        if (value == null) {
+            return "as listed";
+        }
+        return value.hasOut() ? "out" : value.hasShare() ? Double.toString(value.getShare())
+                : value.hasText() ? value.getText() : "of a later program";
+    }
+
+    /** Lines for an operator: who leads, what holds here, and until when. */
+    List<String> status() {
+        try {
+            return loop.submit(this::lines).get(STATUS_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return List.of();
+        } catch (ExecutionException | TimeoutException | RejectedExecutionException e) {
+            return List.of("agreement: its loop does not answer (" + e + "); the lease runs out by itself");
+        }
+    }
+
+    private List<String> lines() {
+        if (council == null) {
+            return List.of("agreement: not begun");
+        }
+        long left = until - now();
+        String lease = left > 0 ? String.format(Locale.ROOT, "lease for %.1f s", left / 1e6)
+                : settings.agreement().serveInDoubt() ? "in doubt, serving on" : "in doubt, refusing";
+        return List.of("agreement: " + lease + ", step " + view.step() + ", revision " + view.revision()
+                + ", leader " + (council.leads() ? "this instance" : council.leader() == null ? "unknown"
+                : council.leader()) + ", " + (settings.agreement().members().contains(
+                settings.copies().instance()) ? council.votes() ? "votes" : "does not vote yet" : "follows"));
+    }
+
+    private static Answer line(String text) {
+        return Answer.newBuilder().setLine(text).build();
+    }
+
+    private static Answer last(String text, int exit) {
+        return Answer.newBuilder().setLine(text).setLast(true).setExit(exit).build();
+    }
+
+    @Override
+    public void close() {
+        after(0, () -> {
+            if (council != null) {
+                council.close();
+            }
+            loop.shutdown();
+        });
+        try {
+            if (!loop.awaitTermination(STATUS_MILLIS, TimeUnit.MILLISECONDS)) {
+                loop.shutdownNow();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (store != null) {
+            store.close();
+        }
+    }
+}
--- a/src/main/java/yewdock/daemon/Archive.java
+++ b/src/main/java/yewdock/daemon/Archive.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -55,8 +56,11 @@
     private final Replica replica;
     private final Committer committer;
     private final Consumer<Frame> toAll;
+    private Set<String> agreedOut = Set.of();
     private final Map<String, Long> metaKept = new HashMap<>();
     private Peers peers;
+    /** Null where nothing is agreed. */
+    private Agreement agreement;
 
     /**
      * Opens the store, which another process must not have open, and begins to copy. What goes to all
@@ -90,7 +94,13 @@
         replica = new Replica(all.copies().cluster(), all.copies().peers().keySet(), records,
                 metaKept.getOrDefault(JOINED, 0L), all.copies().mostRemovals());
         if (!all.copies().peers().isEmpty()) {
+            if (all.agreement().on()) {
+                agreement = new Agreement(all, this::agreed);
+            }
             peers = new Peers(all.copies(), this);
+            if (agreement != null) {
+                agreement.begin(peers);
+            }
             Thread ticks = new Thread(this::tick, "copies");
             ticks.setDaemon(true);
             ticks.start();
@@ -229,8 +239,32 @@
         then.accept(marks());
     }
 
+    /** Those of operators here, and over them what is agreed. */
     private Frame marks() {
-        return Frame.newBuilder().setMarks(Marks.newBuilder().putAllByBox(keeping.marks())).build();
+        Map<String, Mark> all = new HashMap<>(keeping.marks());
+        agreedOut.forEach(box -> all.put(box, Mark.newBuilder().setKind(Mark.Kind.DRAIN).setBy("agreement")
+                .build()));
+        return Frame.newBuilder().setMarks(Marks.newBuilder().putAllByBox(all)).build();
+    }
+
+    /** The boxes that get nothing new by agreement; all generations are told before this returns. */
+    private synchronized void agreed(Set<String> out) {
+        agreedOut = out;
+        tellMarks();
+    }
+
+    /** A generation has said something that may concern the agreement. */
+    void agreement(int generation, Link link, Frame frame) {
+        if (agreement != null) {
+            agreement.heard(generation, link, frame);
+        }
+    }
+
+    /** A generation is no more. */
+    void gone(int generation) {
+        if (agreement != null) {
+            agreement.gone(generation);
+        }
     }
 
     private void tellMarks() {
@@ -247,10 +281,13 @@
             case "mark-gone" -> Mark.Kind.GONE;
             default -> null;
         };
+        if (agreement != null && agreement.asked(command, words, box -> isKnown(box), answer)) {
+            return true;
+        }
         if (kind == null) {
             return false;
         }
-        if (words.size() != 1) {
+        if (words.isEmpty()) {
             answer.accept(last("one box is to be named", 1));
             return true;
         }
@@ -258,6 +295,10 @@
         return true;
     }
 
+    private synchronized boolean isKnown(String box) {
+        return !keeping.known(box).isEmpty();
+    }
+
     private synchronized void mark(String box, Mark.Kind kind, Consumer<Answer> answer) {
         Mark before = keeping.marks().get(box);
         if (kind == Mark.Kind.NONE && before == null) {
@@ -288,7 +329,7 @@
 
     /** Lines for an operator: what is kept here, how old, from whom, and how the copies stand. */
     synchronized List<String> status() {
-        List<String> lines = new ArrayList<>();
+        List<String> lines = new ArrayList<>(agreement == null ? List.of() : agreement.status());
         Committer.Health health = committer.health();
         lines.add("store: " + (health.open() ? "open" : "failed (" + health.kind() + "): " + health.why())
                 + "; records " + (records.size() - records.tombstones()) + ", removed "
@@ -333,7 +374,15 @@
     }
 
     @Override
-    public synchronized void heard(String peer, PeerFrame frame) {
+    public void heard(String peer, PeerFrame frame) {
+        if (!frame.hasCouncil()) {
+            copied(peer, frame);
+        } else if (agreement != null) {
+            agreement.heard(peer, frame.getCouncil());
+        }
+    }
+
+    private synchronized void copied(String peer, PeerFrame frame) {
         reduce(new ReplicaEvent.Heard(peer, frame));
     }
 
@@ -378,6 +427,9 @@
     /** Writes what waits and closes all. */
     @Override
     public void close() {
+        if (agreement != null) {
+            agreement.close();
+        }
         if (peers != null) {
             peers.close();
         }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -26,6 +26,7 @@
 import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
 import yewdock.upgrade.Stage;
+import yewdock.wire.Agreed;
 import yewdock.wire.Checked;
 import yewdock.wire.Counts;
 import yewdock.wire.Failed;
@@ -35,6 +36,7 @@
 import yewdock.wire.News;
 import yewdock.wire.Ready;
 import yewdock.wire.Serving;
+import yewdock.wire.TakenUp;
 import yewdock.wire.Took;
 
 /**
@@ -46,6 +48,8 @@
     private static final int REHEARSED = 500;
     private static final long KEEP_MILLIS = 1_000;
     private static final long LIST_PATIENCE_MILLIS = 500;
+    /** A client that is refused in doubt: a lease comes back within a second of a majority. */
+    private static final long COME_BACK_MICROS = 1_000_000;
 
     private final int number;
     private final Path control;
@@ -53,6 +57,8 @@
     private final String file;
     /** Whether the keeper keeps what the list and the module tell. */
     private final boolean keeping = System.getenv(Keeper.KEEPS) != null;
+    /** Whether it may act only by what is agreed, and while a lease holds. */
+    private final boolean agreeing = System.getenv(Keeper.AGREES) != null;
     private Runnable whenListed;
     private final BlockingQueue<Frame> early = new LinkedBlockingQueue<>();
     private volatile boolean up;
@@ -228,6 +234,9 @@
         if (keeping) {
             front.happened(new Event.Keeping());
         }
+        if (agreeing) {
+            front.happened(new Event.Leased(0, 0));
+        }
         synchronized (early) {
             for (Frame frame = early.poll(); frame != null; frame = early.poll()) {
                 handleSafely(frame);
@@ -320,6 +329,7 @@
             case NEWS -> news(frame.getNews());
             case OTHER_GONE -> front.happened(new Event.OtherGone(frame.getOtherGone().getGeneration()));
             case MARKS -> front.happened(new Event.Marked(States.marks(frame.getMarks())));
+            case AGREED -> agreed(frame.getAgreed());
             case TAKE -> take();
             case GO -> go();
             case LET_GO -> letGo(frame.getLetGo().getLimitMicros());
@@ -330,6 +340,16 @@
         }
     }
 
+    /** The marks that came before it are in force here by now: the keeper may say so. */
+    private void agreed(Agreed agreed) {
+        long until = agreed.getUntil() == Long.MAX_VALUE ? Long.MAX_VALUE
+                : agreed.getUntil() + sockets.clock().getAsLong() - System.nanoTime() / 1000;
+        front.happened(new Event.Leased(until,
+                Math.min(COME_BACK_MICROS, config.settings().limits().retryAfterMax())));
+        link.send(Frame.newBuilder().setTakenUp(TakenUp.newBuilder().setStep(agreed.getStep())
+                .setChain(agreed.getChain())).build());
+    }
+
     private void news(News told) {
         if (told.hasCounts()) {
             told.getCounts().getByNameMap().forEach(counters::add);
--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -47,6 +47,7 @@
     static final String CONTROL = "YEWDOCK_CONTROL";
     static final String SECRET = "YEWDOCK_SECRET";
     static final String KEEPS = "YEWDOCK_KEEPS";
+    static final String AGREES = "YEWDOCK_AGREES";
     private static final long LONGEST_SLEEP = 1_000_000;
     private static final int SECRET_BYTES = 16;
     private static final long LAST_WORDS_MILLIS = 500;
@@ -220,8 +221,9 @@
             if (generation != 0) {
                 if (archive != null) {
                     archive.heard(frame);
+                    archive.agreement(generation, link, frame);
                 }
-                if (!frame.hasKeep()) {
+                if (!frame.hasKeep() && !frame.hasTakenUp()) {
                     events.add(new KeeperEvent.Heard(generation, frame));
                 }
             } else if (command != 0) {
@@ -269,6 +271,9 @@
         private void lost(String why) {
             if (generation != 0) {
                 links.remove(generation, link);
+                if (archive != null) {
+                    archive.gone(generation);
+                }
                 events.add(new KeeperEvent.Lost(generation, why));
             } else if (command != 0) {
                 operators.remove(command);
@@ -334,6 +339,9 @@
         if (archive != null) {
             builder.environment().put(KEEPS, "1");
         }
+        if (settings.agreement().on()) {
+            builder.environment().put(AGREES, "1");
+        }
         builder.environment().put("PROXY_CONFIG", settings.daemon().config().toString());
         builder.environment().put("YEWDOCK_LOG", settings.log().form());
         try {
--- a/src/main/java/yewdock/daemon/Peers.java
+++ b/src/main/java/yewdock/daemon/Peers.java
@@ -180,6 +180,11 @@
         });
     }
 
+    /** Whether a connection to it stands. */
+    boolean up(String peer) {
+        return links.containsKey(peer);
+    }
+
     void send(String peer, PeerFrame frame) {
         Framed<PeerFrame> link = links.get(peer);
         if (link != null) {
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -99,6 +99,9 @@
         if (older == Older.SERVES) {
             return "an older process serves";
         }
+        if (turn.inDoubt()) {
+            return "in doubt about what is agreed";
+        }
         return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
     }
 
@@ -198,6 +201,8 @@
             others.own();
         } else if (event instanceof Event.Marked e) {
             marked(e.marks());
+        } else if (event instanceof Event.Leased e) {
+            turn.leased(e.until(), e.comeBack());
         } else if (event instanceof Event.MarkChanged e) {
             boxes.mark(e.box(), e.mark());
             changedHere();
@@ -300,6 +305,11 @@
         ModelRequest r = e.request();
         if (answers.open(r.id()) || others.holds(r.id())) {
             answers.twin(e);
+        } else if (turn.inDoubt()) {
+            turn.count("answers.refused_in_doubt");
+            turn.count("answers.refused");
+            answers.ended(r, Ending.REJECTED);
+            turn.effect(new Effect.Refuse(e.client(), turn.comeBack()));
         } else if (others.asking()) {
             others.claim(e);
         } else {
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -75,6 +75,13 @@
     record ListFailed() implements Event {
     }
 
+    /**
+     * The agreed rules may be acted by until then; past that this router is in doubt and takes nothing new.
+     * A client that is refused for it is told to come back after so long; 0: no advice.
+     */
+    record Leased(long until, long comeBack) implements Event {
+    }
+
     /** Another generation of this router is about to take over: it owns the ids from now on. */
     record Share() implements Event {
     }
--- a/src/main/java/yewdock/desk/Tries.java
+++ b/src/main/java/yewdock/desk/Tries.java
@@ -53,7 +53,7 @@
     private void start(Try t) {
         Owed o = t.owed;
         ModelBox box = boxes.get(t.box);
-        if (box == null || !box.takesWork()) {
+        if (box == null || !box.takesWork() || turn.inDoubt()) {
             end(t, Outcome.NOT_SENT, 0, null);
             return;
         }
@@ -176,7 +176,7 @@
         line.up = true;
         ModelBox box = boxes.get(line.box.id());
         // The box may have begun to drain, or have moved, while the connection was being made.
-        if (box == null || !box.takesWork()) {
+        if (box == null || !box.takesWork() || turn.inDoubt()) {
             hangUp(line.current, Outcome.NOT_SENT);
         } else {
             carry(line, line.current);
--- a/src/main/java/yewdock/desk/Turn.java
+++ b/src/main/java/yewdock/desk/Turn.java
@@ -23,6 +23,9 @@
     private List<Effect> effects = new ArrayList<>();
     private Routing.Events module;
     private long now;
+    /** Where nothing is agreed, nothing is in doubt. */
+    private long leasedUntil = Long.MAX_VALUE;
+    private long comeBack;
 
     Turn(Counters counters) {
         this.counters = counters;
@@ -34,6 +37,25 @@
     }
 
     /** The next event's turn begins; time never goes back. */
+    /** What is agreed may be acted by until then. */
+    void leased(long until, long next) {
+        leasedUntil = until;
+        comeBack = next;
+    }
+
+    /**
+     * Whether the agreed rules may have changed unheard: compared at each decision, for a timer may come
+     * late.
+     */
+    boolean inDoubt() {
+        return now >= leasedUntil;
+    }
+
+    /** When a client that is refused in doubt should come back. */
+    long comeBack() {
+        return comeBack;
+    }
+
     void begin(long time) {
         now = Math.max(now, time);
         effects = new ArrayList<>();
--- a/src/main/java/yewdock/settings/OperatorSettings.java
+++ b/src/main/java/yewdock/settings/OperatorSettings.java
@@ -14,7 +14,8 @@
  * The operator's own settings, read from HCL. Either all of a file is taken or none of it. Durations are
  * microseconds here and seconds in the file.
  */
-public record OperatorSettings(Daemon daemon, Upgrade upgrade, Log log, Store store, Copies copies) {
+public record OperatorSettings(Daemon daemon, Upgrade upgrade, Log log, Store store, Copies copies,
+        Agreement agreement) {
     private static final double LONGEST_STAGE = 600;
     private static final double LONGEST_FINISH = 86_400;
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9.-]{1,64}");
@@ -63,9 +64,24 @@
         }
     }
 
+    /**
+     * The agreement: the instances that vote, the stated time in which no router acts any more by what has
+     * changed (microseconds), how far clocks drift, and whether a router in doubt serves on.
+     */
+    public record Agreement(List<String> members, long agreedWithin, double drift, boolean serveInDoubt) {
+        public Agreement {
+            members = List.copyOf(members);
+        }
+
+        /** Whether there is one. */
+        public boolean on() {
+            return !members.isEmpty();
+        }
+    }
+
     /** The same with another form of log lines. */
     public OperatorSettings with(Log other) {
-        return new OperatorSettings(daemon, upgrade, other, store, copies);
+        return new OperatorSettings(daemon, upgrade, other, store, copies, agreement);
     }
 
     /** What holds where a file says nothing. */
@@ -107,8 +123,9 @@
         l.nothingElse();
         Store store = store(all.section("store"));
         Copies copies = copies(all.section("copies"), store);
+        Agreement agreement = agreement(all.section("agreement"), copies);
         all.nothingElse();
-        return new OperatorSettings(daemon, upgrade, log, store, copies);
+        return new OperatorSettings(daemon, upgrade, log, store, copies, agreement);
     }
 
     private static Store store(Section s) {
@@ -152,6 +169,26 @@
         return copies;
     }
 
+    private static Agreement agreement(Section a, Copies copies) {
+        List<String> members = a.texts("members", List.of()).stream().sorted().toList();
+        if (!members.isEmpty()) {
+            if (members.stream().distinct().count() != members.size()
+                    || members.size() != 3 && members.size() != 5) {
+                a.wrong("members", "three or five instances, each once, not " + members);
+            }
+            for (String member : members) {
+                if (!member.equals(copies.instance()) && !copies.peers().containsKey(member)) {
+                    a.wrong("members", "this instance and copies.peers, and " + member + " is none of them");
+                }
+            }
+        }
+        Agreement agreement = new Agreement(members, a.seconds("agreed_within_s", 3, 1, LONGEST_STAGE),
+                a.number("drift", 0.001, 0, 0.01),
+                a.oneOf("in_doubt", "refuse", List.of("refuse", "serve")).equals("serve"));
+        a.nothingElse();
+        return agreement;
+    }
+
     private static long stage(Section u, String key, double byDefault) {
         return u.seconds(key, byDefault, 0.1, LONGEST_STAGE);
     }
--- a/src/test/java/yewdock/settings/OperatorSettingsTest.java
+++ b/src/test/java/yewdock/settings/OperatorSettingsTest.java
@@ -39,7 +39,19 @@
                 "f.hcl: upgrade.most: no such key; there are start_s, check_s, state_s, ready_s, "
                 + "take_s, share_s, go_s, let_go_s, finish_s, most_finishing",
                 "f.hcl: log.form: text or json, not xml",
-                "f.hcl: extra: no such key; there are daemon, upgrade, log, store, copies"), bad.mistakes());
+                "f.hcl: extra: no such key; there are daemon, upgrade, log, store, copies, agreement"),
+                bad.mistakes());
+    }
+
+    @Test
+    void aCouncilOfWhoIsNotThereIsAMistake() {
+        BadSettingsException bad = assertThrows(BadSettingsException.class, () -> OperatorSettings.parse("f",
+                "agreement {\n members = [\"a\", \"b\"]\n agreed_within_s = 0.5\n in_doubt = \"hope\"\n}\n"));
+        assertEquals(List.of("f: agreement.members: three or five instances, each once, not [a, b]",
+                "f: agreement.members: this instance and copies.peers, and a is none of them",
+                "f: agreement.members: this instance and copies.peers, and b is none of them",
+                "f: agreement.agreed_within_s: a number from 1 to 600, not 0.5",
+                "f: agreement.in_doubt: refuse or serve, not hope"), bad.mistakes());
     }
 
     /** What the parser takes for an empty file, or mends by itself, is a mistake here. */
