A late answer of an earlier term confirms nobody; proof of agreement by seeds, sizes, processes

Seen: 5,000 seeds of the new proof printed errors of the library: 'QueryState{readIndex=70, querySequenceNumber=1, ...}, acked query sequence number: 99, follower: r003' in tryAck. Cause: MicroRaft numbers the rounds that confirm a leader anew in each term and doesn't look at an answer's term; an answer that was held back while the same member led before came to the round of a later term. With the same number it would have counted, and a leader that others had replaced could have granted leases by it. Ruled out: doubled messages within one term (they are acked twice and counted once); disks (none was lost in these seeds). At fault: nothing of ours stood between the network and RaftNode.handle. Change: Member drops answers of an earlier term (CouncilSimTest.aLateAnswerOfAnEarlierTermIsNotTaken).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo deployments-proof replacement-proof model-proof upgrade-proof upgrade-probe store-proof store-probe store-damage
+.PHONY: build test lint run demo deployments-proof replacement-proof model-proof upgrade-proof upgrade-probe store-proof agreement-proof store-probe store-damage
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -39,6 +39,10 @@
 store-proof: build
 	java -jar target/yewdock.jar store-proof
 
+# five thousand seeds of routers that agree, sizes, and ten minutes of processes under faults; not a part of CI
+agreement-proof: build
+	java -jar target/yewdock.jar agreement-proof
+
 # the libraries that docs/STORE.md compares
 store-probe:
 	mvn -B -ntp -q -f src/probe/pom.xml dependency:build-classpath -Dmdep.outputFile=$(CURDIR)/target/probe.path
--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -18,6 +18,7 @@
 import yewdock.log.Say;
 import yewdock.platform.Addresses;
 import yewdock.platform.Deployment;
+import yewdock.proof.AgreementProof;
 import yewdock.proof.CopiesProof;
 import yewdock.proof.DeploymentsProof;
 import yewdock.proof.LiveProof;
@@ -64,7 +65,8 @@
             subcommands = {Serve.class, Adapter.class, Daemon.class, Upgrade.class, Status.class,
                 RulesShown.class, Check.class, Demo.class, LoadTool.class, Proof.class,
                 StoreCommands.Drain.class, StoreCommands.Undrain.class, StoreCommands.Marks.class,
-                StoreCommands.Stores.class, Replacements.class, StoreProofs.class, Deployments.class,
+                StoreCommands.Stores.class, Replacements.class, StoreProofs.class, Agreements.class,
+                Deployments.class,
                 ModelCommands.Models.class, ModelCommands.Experiments.class})
     static final class Root implements Callable<Integer> {
         @CommandLine.Spec
@@ -352,6 +354,33 @@
         }
     }
 
+    @Command(name = "agreement-proof", mixinStandardHelpOptions = true,
+            description = "Routers that agree, with faults all along: in virtual time, and as processes.")
+    static final class Agreements implements Callable<Integer> {
+        @Option(names = "--seeds", defaultValue = "5000", description = "runs in virtual time")
+        private int seeds;
+        @Option(names = "--seconds", defaultValue = "600", description = "of processes under load")
+        private int seconds;
+        @Option(names = "--seed", defaultValue = "1")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            AgreementProof proof = new AgreementProof(Main.class.getName(), System.out::println);
+            if (seeds > 0) {
+                proof.seeds(seed, seeds);
+                proof.sizes();
+            }
+            if (seconds > 0) {
+                proof.processes(seconds, seed);
+            }
+            proof.broken().forEach(System.out::println);
+            System.out.println(proof.broken().isEmpty() ? "nothing broken"
+                    : "broken: " + proof.broken().size());
+            return proof.broken().isEmpty() ? 0 : 1;
+        }
+    }
+
     @Command(name = "store-proof", mixinStandardHelpOptions = true,
             description = "Kills under load, judged; copies that are split and joined; what the store costs.")
     static final class StoreProofs implements Callable<Integer> {
--- a/src/main/java/yewdock/council/Member.java
+++ b/src/main/java/yewdock/council/Member.java
@@ -144,16 +144,27 @@
         return leader == null ? null : ((Endpoint) leader).name();
     }
 
-    /** What another member sends; of another council it is not taken. */
+    /**
+     * What another member sends; of another council it is not taken. An answer of an earlier term is not
+     * for the library: its leader numbers its rounds anew in each term, and would take a late answer to a
+     * round of the same number, of an earlier time that it led, for a vote that it leads now.
+     */
     boolean heard(RaftFrame frame) {
         if (!frame.getGroup().equals(group)) {
             return false;
         }
-        RaftMessage message = RaftCodec.message(frame);
-        node.handle(message);
+        if (!outdated(frame, node.getTerm().getTerm())) {
+            node.handle(RaftCodec.message(frame));
+        }
         return true;
     }
 
+    static boolean outdated(RaftFrame frame, int term) {
+        boolean answers = frame.hasAppended() || frame.hasAppendFailed() || frame.hasInstalled()
+                || frame.hasVoted();
+        return answers && frame.getTerm() < term;
+    }
+
     CompletableFuture<Ordered<RuleOutcome>> replicate(RuleCommand command) {
         return node.replicate(command);
     }
--- a/src/test/java/yewdock/council/CouncilSimTest.java
+++ b/src/test/java/yewdock/council/CouncilSimTest.java
@@ -12,6 +12,9 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import yewdock.proof.CouncilSim;
 import yewdock.proof.CouncilSim.Plant;
+import yewdock.wire.Append;
+import yewdock.wire.Appended;
+import yewdock.wire.RaftFrame;
 
 class CouncilSimTest {
     private static final long SECOND = 1_000_000;
@@ -80,6 +83,16 @@
         fail(plant + " was not seen in 60 seeds");
     }
 
+    /** Else a leader could count an answer to a round of an earlier term for one that it begins now. */
+    @Test
+    void aLateAnswerOfAnEarlierTermIsNotTaken() {
+        RaftFrame.Builder frame = RaftFrame.newBuilder().setTerm(3);
+        assertTrue(Member.outdated(frame.setAppended(Appended.getDefaultInstance()).build(), 4));
+        assertFalse(Member.outdated(frame.build(), 3));
+        assertFalse(Member.outdated(frame.build(), 2));
+        assertFalse(Member.outdated(frame.setAppend(Append.getDefaultInstance()).build(), 4));
+    }
+
     /** It forgot what it voted: it has to ask to be taken in, and votes as another member then. */
     @Test
     void aMemberThatLostItsDiskIsTakenInAnew() {
