--- a/src/main/java/yewdock/council/Council.java
+++ b/src/main/java/yewdock/council/Council.java
@@ -68,6 +68,9 @@
         /** The lease holds until then, by the loop's clock. */
         void leaseUntil(long until);
 
+        /** Another router acts on a newer version of the box list than this one has told. */
+        void listBehind(long newest);
+
         /** Something that operators should know: the event, and then names and values. */
         void note(String event, Object... fields);
     }
@@ -83,7 +86,9 @@
     private final Lease lease;
     private final Grants grants;
     private final Feeds feeds = new Feeds();
+    private final Lists lists = new Lists();
     private final Map<String, Long> fed = new HashMap<>();
+    private final Map<String, String> listOf = new HashMap<>();
     private final Map<String, Long> forced = new HashMap<>();
     private final Map<Long, Wait> proposals = new HashMap<>();
     private final Map<String, Hello> fresh = new TreeMap<>();
@@ -98,6 +103,9 @@
     private long roundUntil;
     private long numbers;
     private boolean changing;
+    private String listAddress = "";
+    private long listVersion = -1;
+    private long listAskedFor = -1;
     private boolean closed;
 
     /** A member said that its disk remembers no vote. */
@@ -213,9 +221,16 @@
         }
     }
 
+    /** The box list that this instance acts on from now on. */
+    public void actsOn(String address, long version) {
+        listAddress = address;
+        listVersion = version;
+    }
+
     private void renew() {
         Renew.Builder call = Renew.newBuilder().setNumber(lease.asks(loop.now())).setStep(takenStep)
-                .setChain(takenChain).setIncarnation(incarnation);
+                .setChain(takenChain).setIncarnation(incarnation).setListAddress(listAddress)
+                .setListVersion(listVersion);
         String to = whoLeads();
         if (to != null) {
             send(to, CouncilFrame.newBuilder().setRenew(call).build());
@@ -364,6 +379,11 @@
         if (g.getIncarnation() == incarnation) {
             lease.granted(g.getNumber());
             instance.leaseUntil(lease.until());
+            // once for each version: a service that has started anew may never come so far again
+            if (g.getListVersion() > listVersion && g.getListVersion() != listAskedFor && listVersion >= 0) {
+                listAskedFor = g.getListVersion();
+                instance.listBehind(g.getListVersion());
+            }
         }
     }
 
@@ -378,6 +398,8 @@
             return;
         }
         fed.put(from, call.getStep());
+        listOf.put(from, call.getListAddress());
+        lists.heard(from, call.getListAddress(), call.getListVersion());
         if (!feeds.same(call.getStep(), call.getChain())) {
             instance.note("agreement.diverged", "instance", from, "step", call.getStep());
             send(from, CouncilFrame.newBuilder().setFeed(Feeds.whole(member.rules()).toBuilder()
@@ -421,7 +443,8 @@
             }
             for (Grants.Ask ask : grants.confirmed(member.rules().prepared(), loop.now())) {
                 send(ask.router(), CouncilFrame.newBuilder().setGranted(Granted.newBuilder()
-                        .setNumber(ask.number()).setIncarnation(ask.incarnation())).build());
+                        .setNumber(ask.number()).setIncarnation(ask.incarnation())
+                        .setListVersion(lists.newest(listOf.getOrDefault(ask.router(), "")))).build());
             }
             take();
             round();
--- a/src/main/java/yewdock/daemon/Agreement.java
+++ b/src/main/java/yewdock/daemon/Agreement.java
@@ -32,6 +32,7 @@
 import yewdock.store.StoreException;
 import yewdock.wire.Agreed;
 import yewdock.wire.Answer;
+import yewdock.wire.AskListAnew;
 import yewdock.wire.CouncilFrame;
 import yewdock.wire.Frame;
 import yewdock.wire.HistoryLine;
@@ -169,6 +170,22 @@
         return peers.up(instance);
     }
 
+    /** The generation that serves acts on this version of the box list. */
+    void actsOn(String address, long version) {
+        after(0, () -> {
+            if (council != null) {
+                council.actsOn(address, version);
+            }
+        });
+    }
+
+    @Override
+    public void listBehind(long newest) {
+        Say.info("list.behind", "newest", newest);
+        generations.values().forEach(t -> t.link.send(Frame.newBuilder().setAskListAnew(
+                AskListAnew.getDefaultInstance()).build()));
+    }
+
     @Override
     public void note(String event, Object... fields) {
         Say.info(event, fields);
--- a/src/main/java/yewdock/daemon/Archive.java
+++ b/src/main/java/yewdock/daemon/Archive.java
@@ -183,6 +183,9 @@
             return;
         }
         keep(keeping.told(news, 0, wall()));
+        if (agreement != null) {
+            agreement.actsOn(news.getAddress(), news.getVersion());
+        }
         List<Kept> outlived = keeping.dropOutlived(wall());
         if (!outlived.isEmpty()) {
             keep(outlived);
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -330,6 +330,7 @@
             case OTHER_GONE -> front.happened(new Event.OtherGone(frame.getOtherGone().getGeneration()));
             case MARKS -> front.happened(new Event.Marked(States.marks(frame.getMarks())));
             case AGREED -> agreed(frame.getAgreed());
+            case ASK_LIST_ANEW -> front.happened(new Event.ListBehind());
             case TAKE -> take();
             case GO -> go();
             case LET_GO -> letGo(frame.getLetGo().getLimitMicros());
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -203,6 +203,8 @@
             marked(e.marks());
         } else if (event instanceof Event.Leased e) {
             turn.leased(e.until(), e.comeBack());
+        } else if (event instanceof Event.ListBehind) {
+            watch.askAnew();
         } else if (event instanceof Event.MarkChanged e) {
             boxes.mark(e.box(), e.mark());
             changedHere();
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -82,6 +82,10 @@
     record Leased(long until, long comeBack) implements Event {
     }
 
+    /** Another router acts on a newer box list than this one. */
+    record ListBehind() implements Event {
+    }
+
     /** Another generation of this router is about to take over: it owns the ids from now on. */
     record Share() implements Event {
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -101,6 +101,15 @@
         ask(0);
     }
 
+    /** Another router has a newer list: the call that is out should have brought it, so it is broken. */
+    void askAnew() {
+        if (out) {
+            effects.accept(new Effect.HangUpList());
+        }
+        counters.add("list.behind");
+        ask(0);
+    }
+
     String address() {
         return address;
     }
--- a/src/main/java/yewdock/proof/AgreedInstallation.java
+++ b/src/main/java/yewdock/proof/AgreedInstallation.java
@@ -16,6 +16,12 @@
 /** Daemons that agree, each a process with a store of its own, and a relay between any two of them. */
 public final class AgreedInstallation implements Closeable {
     private static final long PATIENCE_SECONDS = 40;
+    /** Several start at once, on a machine that may be busy: a first generation given up ends its daemon. */
+    private static final String PATIENT_STAGES = """
+              start_s = 60
+              check_s = 60
+              ready_s = 60
+              finish_s = 5""";
     private final String main;
     private final Path folder;
     private final Fleet fleet;
@@ -78,7 +84,7 @@
                 + "\"\n  listen = \"127.0.0.1:" + ports[i] + "\"\n  peers = [" + String.join(", ", peers)
                 + "]\n}\nagreement {\n  members = [" + String.join(", ", voting) + "]\n" + more + "}\n";
         return Router.launch(main, Files.createDirectories(folder.resolve("r" + i)),
-                fleet.configuration("127.0.0.1:" + clients[i]), UpgradeProof.QUICK_STAGES, blocks);
+                fleet.configuration("127.0.0.1:" + clients[i]), PATIENT_STAGES, blocks);
     }
 
     private void serves(int i) throws IOException {
--- a/src/main/java/yewdock/proof/CouncilSim.java
+++ b/src/main/java/yewdock/proof/CouncilSim.java
@@ -60,6 +60,7 @@
     private int changes;
     private int asked;
     private long disks;
+    private int listsCaughtUp;
 
     private record Task(long at, long order, Runnable work) implements Comparable<Task> {
         @Override
@@ -111,6 +112,11 @@
         return sent;
     }
 
+    /** How often a router found that another had a newer list, and got it. */
+    public int listsCaughtUp() {
+        return listsCaughtUp;
+    }
+
     /** Changes that were asked for. */
     public int asked() {
         return asked;
@@ -419,6 +425,13 @@
             after(Math.max(0, end - now()), () -> leased = now() < until);
         }
 
+        @Override
+        public void listBehind(long newest) {
+            // asked at once, and had
+            council.actsOn("list", newest);
+            listsCaughtUp++;
+        }
+
         @Override
         public void note(String event, Object... fields) {
             judge.notes(event, name + " " + Arrays.toString(fields), now);
--- a/src/test/java/yewdock/AskedListTest.java
+++ b/src/test/java/yewdock/AskedListTest.java
@@ -137,6 +137,22 @@
         assertEquals(0, failuresTold);
     }
 
+    /** What other routers know doesn't wait until this one's silent call is given up. */
+    @Test
+    void aListThatAnotherRouterHasIsAskedForAtOnce() {
+        happens(new Event.Started(KNOWN, "127.0.0.1:8500"));
+        pass(SECOND);
+        silentUntil = now + SECOND;
+        drained = true;
+        pass(SECOND);
+        open = null;
+        int before = calls.size();
+        happens(new Event.ListBehind());
+        assertEquals(before + 1, calls.size());
+        pass(2 * STEP);
+        assertTrue(toldAt <= now, "not told");
+    }
+
     /** Calls are priced over the whole fleet: in quiet one for each 5 s, and few in a long silence. */
     @Test
     void quietAndSilenceAreNoStorm() {
--- a/src/test/java/yewdock/council/CouncilSimTest.java
+++ b/src/test/java/yewdock/council/CouncilSimTest.java
@@ -93,6 +93,38 @@
         assertFalse(Member.outdated(frame.setAppend(Append.getDefaultInstance()).build(), 4));
     }
 
+    @Test
+    void aRouterWhoseListIsBehindIsToldOncePerVersion() {
+        CouncilSim sim = new CouncilSim(3, 2, 1, Plant.NONE);
+        sim.run(5 * SECOND);
+        for (int i = 0; i < 5; i++) {
+            sim.host(i).council().actsOn("list", i == 4 ? 6 : 7);
+        }
+        sim.run(SECOND);
+        assertEquals(1, sim.listsCaughtUp());
+        sim.host(2).council().actsOn("list", 8);
+        sim.run(SECOND);
+        assertEquals(5, sim.listsCaughtUp());
+    }
+
+    /**
+     * The service starts anew and counts from below: what the others hold of its earlier life is no newer.
+     */
+    @Test
+    void aListThatStartsAnewIsNotAskedForWithoutEnd() {
+        Lists lists = new Lists();
+        lists.heard("a", "x", 100);
+        lists.heard("b", "x", 100);
+        lists.heard("c", "y", 300);
+        lists.heard("a", "x", 5);
+        assertEquals(5, lists.newest("x"));
+        lists.heard("b", "x", 100);
+        assertEquals(5, lists.newest("x"));
+        lists.heard("b", "x", 6);
+        assertEquals(6, lists.newest("x"));
+        assertEquals(-1, lists.newest("z"));
+    }
+
     /** It forgot what it voted: it has to ask to be taken in, and votes as another member then. */
     @Test
     void aMemberThatLostItsDiskIsTakenInAnew() {
