A member whose disk fails says nothing more, and one that nobody leads begins anew

After a failed write MicroRaft keeps in memory what is not on the disk, answers for it and counts itself among those who have it ('got a failure in AppendEntriesRequestHandler', then acks of the same entries, which it does not write again). An agreed change could have been on one disk of three. RaftDisk now stays broken after a failed write: no task of the library runs and nothing is sent any more, and the member begins anew from what the disk has once that takes a write. 2. A follower asked the leader that it knew for ever, also when that one stood still or no longer led (CouncilSimTest, aMemberWithoutRoomOnItsDisk..., with the leader's disk full: host 3 without a lease 12 s later). At fault: Council.whoLeads. After two calls without an answer it asks the members one after the other. 3. Cause, in the library's HeartbeatTask: it starts no vote while an earlier asking is noted, and PreVoteTask ends without taking that note back when a leader came up meanwhile. A member that nobody has led for 5 s begins anew from its disk, which is always safe.

--- a/src/main/java/yewdock/council/Council.java
+++ b/src/main/java/yewdock/council/Council.java
@@ -39,6 +39,8 @@
     private static final long ROUND_TIMEOUT = SECOND;
     private static final long PROPOSAL_TIMEOUT = 2 * SECOND;
     private static final long FORCE_AGAIN = SECOND;
+    /** So many calls in a row without an answer, and another member is asked who leads. */
+    private static final int MOST_UNANSWERED = 2;
     private static final long HELLO_HOLDS = 2 * SECOND;
 
     /**
@@ -78,7 +80,7 @@
     private final Terms terms;
     private final Loop loop;
     private final Instance instance;
-    private final RaftDisk disk;
+    private RaftDisk disk;
     private final Endpoint self;
     private final long seed;
     private final long incarnation;
@@ -96,6 +98,7 @@
     private Member member;
     private String leader;
     private int nextAsked;
+    private int unanswered;
     private long takenStep;
     private long takenChain;
     private long rounds;
@@ -143,6 +146,9 @@
         if (member != null) {
             member.close();
         }
+        if (disk != null) {
+            disk.close();
+        }
     }
 
     // ---- time
@@ -152,7 +158,11 @@
             return;
         }
         renew();
-        if (disk != null && !votes()) {
+        if (disk != null && disk.broken()) {
+            again("agreement.disk_failed");
+        } else if (member != null && member.stuck()) {
+            again("agreement.nobody_leads");
+        } else if (disk != null && !votes()) {
             greet();
         }
         if (member != null) {
@@ -171,6 +181,25 @@
         loop.after(terms.lease().renewEvery(), this::tick);
     }
 
+    /** The member ends, and begins anew from what its disk has; a disk that takes no write is tried again. */
+    private void again(String event) {
+        if (member != null) {
+            instance.note(event, "now", "this member begins anew from its disk");
+            grants.follows();
+            member.close();
+            member = null;
+            changing = false;
+        }
+        try {
+            disk = disk.anew();
+            if (disk.restored() != null) {
+                start(List.of());
+            }
+        } catch (IOException e) {
+            // tried again with the next tick
+        }
+    }
+
     // ---- the router's side: what it holds, and until when
 
     /** What this instance holds of the rules. */
@@ -231,6 +260,10 @@
         Renew.Builder call = Renew.newBuilder().setNumber(lease.asks(loop.now())).setStep(takenStep)
                 .setChain(takenChain).setIncarnation(incarnation).setListAddress(listAddress)
                 .setListVersion(listVersion);
+        if (++unanswered > MOST_UNANSWERED) {
+            // one that led may stand still, and nobody else would be asked
+            leader = null;
+        }
         String to = whoLeads();
         if (to != null) {
             send(to, CouncilFrame.newBuilder().setRenew(call).build());
@@ -266,6 +299,7 @@
     private void fed(String from, Feed feed) {
         if (!feed.getLeader().isEmpty() && member == null) {
             leader = feed.getLeader();
+            unanswered = 0;
         }
         long before = held.step();
         if (feed.hasSnapshot()) {
@@ -377,6 +411,7 @@
 
     private void granted(Granted g) {
         if (g.getIncarnation() == incarnation) {
+            unanswered = 0;
             lease.granted(g.getNumber());
             instance.leaseUntil(lease.until());
             // once for each version: a service that has started anew may never come so far again
--- a/src/main/java/yewdock/council/Member.java
+++ b/src/main/java/yewdock/council/Member.java
@@ -48,16 +48,19 @@
     private static final int MOST_PENDING = 500;
     private static final int BATCH = 200;
     private static final int REPORT_SECONDS = 3_600;
+    private static final long STUCK = 5_000_000;
     private static final Object CONFIRM = new Object();
 
     private final Loop loop;
     private final Rules rules = new Rules();
     private final Runnable stepped;
     private final Consumer<RuleCommand> agreed;
+    private final RaftDisk disk;
     private final RaftNode node;
     private final String group;
     private final List<String> founders;
     private boolean leading;
+    private long ledAt;
 
     /** What a member tells its instance. */
     interface Hearer {
@@ -82,6 +85,7 @@
     Member(Loop loop, String cluster, Endpoint self, List<String> founders, RaftDisk disk, long seed,
             Hearer hearer, Sender send, Function<String, Boolean> up) {
         this.loop = loop;
+        this.disk = disk;
         this.stepped = hearer::stepped;
         this.agreed = hearer::agreed;
         this.founders = disk.restored() == null ? founders
@@ -103,6 +107,7 @@
         } else {
             builder.setLocalEndpoint(self).setInitialGroupMembers(RaftCodec.endpoints(founders));
         }
+        ledAt = loop.now();
         node = builder.build();
         node.start();
     }
@@ -135,7 +140,7 @@
     }
 
     boolean leading() {
-        return leading;
+        return leading && !disk.broken();
     }
 
     /** The instance that leads, as far as this member knows; null for none. */
@@ -144,6 +149,15 @@
         return leader == null ? null : ((Endpoint) leader).name();
     }
 
+    /**
+     * Whether nobody has led it for so long that it should have asked for votes many times. The library
+     * forgets to, once a leader came up while it asked and then fell silent: begun anew from its disk, it
+     * asks.
+     */
+    boolean stuck() {
+        return !leading && loop.now() - ledAt >= STUCK;
+    }
+
     /**
      * What another member sends; of another council it is not taken. An answer of an earlier term is not
      * for the library: its leader numbers its rounds anew in each term, and would take a late answer to a
@@ -153,7 +167,10 @@
         if (!frame.getGroup().equals(group)) {
             return false;
         }
-        if (!outdated(frame, node.getTerm().getTerm())) {
+        if (frame.hasAppend() || frame.hasInstall()) {
+            ledAt = loop.now();
+        }
+        if (!disk.broken() && !outdated(frame, node.getTerm().getTerm())) {
             node.handle(RaftCodec.message(frame));
         }
         return true;
@@ -186,24 +203,39 @@
     }
 
     void close() {
-        node.terminate();
+        // one whose disk has failed would want to write once more, and does nothing anyway
+        if (!disk.broken()) {
+            node.terminate();
+        }
     }
 
     /** The library's tasks, on our loop and with its clock's seconds made shorter. */
     private final class OnLoop implements RaftNodeExecutor {
         @Override
         public void execute(Runnable task) {
-            loop.after(0, task);
+            loop.after(0, guarded(task));
         }
 
         @Override
         public void submit(Runnable task) {
-            loop.after(0, task);
+            loop.after(0, guarded(task));
         }
 
         @Override
         public void schedule(Runnable task, long delay, TimeUnit unit) {
-            loop.after(unit.toMicros(delay) / SPEED, task);
+            loop.after(unit.toMicros(delay) / SPEED, guarded(task));
+        }
+
+        /**
+         * Once a write has failed the library goes on with what it has in memory, answers for it and counts
+         * itself among those who have it: against that nothing of it runs any more.
+         */
+        private Runnable guarded(Runnable task) {
+            return () -> {
+                if (!disk.broken()) {
+                    task.run();
+                }
+            };
         }
     }
 
@@ -229,7 +261,7 @@
         }
     }
 
-    private static final class Over implements Transport {
+    private final class Over implements Transport {
         private final Sender sender;
         private final Function<String, Boolean> up;
 
@@ -240,6 +272,9 @@
 
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
+            if (disk.broken()) {
+                return;
+            }
             sender.send(((Endpoint) target).name(), RaftCodec.frame(message));
         }
 
--- a/src/main/java/yewdock/council/RaftDisk.java
+++ b/src/main/java/yewdock/council/RaftDisk.java
@@ -37,18 +37,49 @@
     private static final String ENTRY = "e/";
     private static final String CHUNK = "s/";
 
+    private static final String TRIED = "tried";
+
+    private final Shelf.Opening opening;
     private final Shelf shelf;
+    private boolean broken;
     private Map<String, byte[]> waiting = new HashMap<>();
     private long first = 1;
     private long last;
     private RestoredRaftState restored;
 
-    /** Reads what is there. */
-    public RaftDisk(Shelf shelf) throws IOException {
-        this.shelf = shelf;
+    /** Opens it, and reads what is there. */
+    public RaftDisk(Shelf.Opening opening) throws IOException {
+        this.opening = opening;
+        try {
+            this.shelf = opening.open();
+        } catch (StoreException e) {
+            throw new IOException("the council's log can't be opened: " + e.getMessage(), e);
+        }
         restore();
     }
 
+    /**
+     * Whether a write has failed. What Raft holds in memory is more than what is on the disk then: nothing
+     * of it may be told to anybody, and the member has to begin anew from what is there.
+     */
+    boolean broken() {
+        return broken;
+    }
+
+    /** The same opened anew, once it takes writes again. */
+    RaftDisk anew() throws IOException {
+        shelf.close();
+        RaftDisk next = new RaftDisk(opening);
+        next.waiting.put(TRIED, new byte[] {1});
+        next.flush();
+        return next;
+    }
+
+    /** Closes it. */
+    public void close() {
+        shelf.close();
+    }
+
     private void restore() throws IOException {
         SortedMap<String, byte[]> all = shelf.all();
         if (!all.containsKey(SELF) || !all.containsKey(FOUNDERS)) {
@@ -181,6 +212,7 @@
         try {
             shelf.write(changes);
         } catch (StoreException e) {
+            broken = true;
             throw new IOException("the council's log can't be kept: " + e.getMessage(), e);
         }
     }
--- a/src/main/java/yewdock/daemon/Agreement.java
+++ b/src/main/java/yewdock/daemon/Agreement.java
@@ -29,7 +29,6 @@
 import yewdock.rules.View;
 import yewdock.settings.OperatorSettings;
 import yewdock.store.Store;
-import yewdock.store.StoreException;
 import yewdock.wire.Agreed;
 import yewdock.wire.Answer;
 import yewdock.wire.AskListAnew;
@@ -66,7 +65,6 @@
     private final List<Asked> waiting = new ArrayList<>();
     private Peers peers;
     private Council council;
-    private Store store;
     private View view = View.NOTHING;
     private long chain;
     private long until = Long.MIN_VALUE;
@@ -107,12 +105,11 @@
         if (a.members().contains(self)) {
             Path folder = settings.store().folder().resolve(LOG);
             try {
-                store = Store.open(folder);
-            } catch (StoreException e) {
-                throw new IOException("the council's log in " + folder + " can't be opened: " + e.getMessage()
+                disk = new RaftDisk(() -> Store.open(folder));
+            } catch (IOException e) {
+                throw new IOException(e.getMessage() + ", in " + folder
                         + "; an instance that has lost it is put in anew with an empty folder", e);
             }
-            disk = new RaftDisk(store);
         }
         RaftDisk mine = disk;
         long seed = random.nextLong() >>> 1;
@@ -408,8 +405,5 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        if (store != null) {
-            store.close();
-        }
     }
 }
--- a/src/main/java/yewdock/proof/AgreementProof.java
+++ b/src/main/java/yewdock/proof/AgreementProof.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.HdrHistogram.Histogram;
@@ -124,7 +125,7 @@
         List<Rules.Marked> marks = new ArrayList<>();
         Map<String, Integer> faults = new TreeMap<>();
         Histogram acknowledged = new Histogram(3);
-        int unknown = 0;
+        AtomicInteger unknown = new AtomicInteger();
         try (Fleet fleet = new Fleet(BOXES, 32);
                 AgreedInstallation all = new AgreedInstallation(main, folder, fleet, MEMBERS, FOLLOWERS,
                         "")) {
@@ -135,44 +136,44 @@
                 loads.get(i).start();
             }
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+            Thread staff = new Thread(() -> {
+                SplittableRandom draws = new SplittableRandom(seed + 1);
+                while (System.nanoTime() < end) {
+                    unknown.addAndGet(command(all, draws.nextInt(all.size()), fleet, draws, drained, marks,
+                            acknowledged));
+                }
+            }, "staff");
+            staff.start();
             int round = 0;
             while (System.nanoTime() < end) {
-                int one = random.nextInt(all.size());
-                int down = fault(all, one, random, faults);
-                for (int i = 0; i < 4; i++) {
-                    int at = random.nextInt(all.size());
-                    if (at != down) {
-                        unknown += command(all, at, fleet, random, drained, marks, acknowledged);
-                    }
-                    Thread.sleep(random.nextLong(400));
-                }
-                if (random.nextInt(2) == 0) {
+                fault(all, random.nextInt(all.size()), random, faults);
+                Thread.sleep(random.nextLong(500, 4_000));
+                if (random.nextInt(3) > 0) {
                     all.heal();
+                    Thread.sleep(random.nextLong(500, 4_000));
                 }
-                if (++round % 10 == 0) {
-                    out.accept("rounds " + round + ", marks " + marks.size() + ", faults " + faults);
+                if (++round % 20 == 0) {
+                    out.accept("rounds " + round + ", faults " + faults);
                 }
             }
             all.heal();
+            staff.join();
             all.whole();
             same(all);
             for (Load load : loads) {
                 load.stop();
             }
             drained.forEach((box, at) -> marks.add(new Rules.Marked(box, at, Long.MAX_VALUE)));
-            judge(fleet.ledger(), marks, faults, acknowledged, unknown);
+            judge(fleet.ledger(), marks, faults, acknowledged, unknown.get());
         } finally {
             UpgradeProof.delete(folder);
         }
     }
 
-    /**
-     * One more fault, beside those that still are; returns who is of no use until it is over, -1 for nobody.
-     */
-    private int fault(AgreedInstallation all, int one, SplittableRandom random, Map<String, Integer> faults)
-            throws IOException, InterruptedException {
+    /** One more fault, beside those that still are. */
+    private static void fault(AgreedInstallation all, int one, SplittableRandom random,
+            Map<String, Integer> faults) throws IOException, InterruptedException {
         String name;
-        int stopped = -1;
         switch (random.nextInt(6)) {
             case 0 -> {
                 name = "cut off both ways";
@@ -180,8 +181,8 @@
             }
             case 1 -> {
                 name = "cut off one way";
-                boolean out1 = random.nextBoolean();
-                all.cutOff(one, out1, !out1);
+                boolean there = random.nextBoolean();
+                all.cutOff(one, there, !there);
             }
             case 2 -> {
                 name = "one pair cut";
@@ -193,7 +194,6 @@
             }
             case 4 -> {
                 name = "stopped for a while";
-                stopped = one;
                 all.signal(one, "STOP");
                 Thread.sleep(random.nextLong(500, 6_000));
                 all.signal(one, "CONT");
@@ -208,7 +208,6 @@
             }
         }
         faults.merge(name, 1, Integer::sum);
-        return stopped;
     }
 
     /** An operator drains a box or takes that back; returns 1 if what came of it is not known. */
--- a/src/main/java/yewdock/proof/CouncilSim.java
+++ b/src/main/java/yewdock/proof/CouncilSim.java
@@ -163,6 +163,7 @@
         cut.clear();
         loss = 0;
         for (Host h : hosts) {
+            h.full(false);
             h.resume();
             if (h.council == null) {
                 h.start();
@@ -179,12 +180,13 @@
     public void trouble(long micros) {
         long until = now + micros;
         while (now < until) {
-            switch (random.nextInt(9)) {
+            switch (random.nextInt(10)) {
                 case 0 -> cutOff(any(), true, true);
                 case 1 -> cutOff(any(), random.nextBoolean(), true);
                 case 2 -> cut(any(), any());
                 case 3 -> any().pause((long) (SECOND * Math.exp(random.nextDouble() * 4 - 2)));
                 case 4 -> any().kill();
+                case 8 -> any().full(true);
                 case 5 -> lose(random.nextDouble() * 0.3);
                 case 6 -> {
                     Host l = leader();
@@ -302,7 +304,7 @@
             leased = false;
             try {
                 council = new Council(new Council.Terms("sim", name, members, lease()), this, this,
-                        members.contains(name) ? new RaftDisk(disk) : null, random.nextLong() >>> 1);
+                        members.contains(name) ? new RaftDisk(() -> disk) : null, random.nextLong() >>> 1);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -326,6 +328,11 @@
             disk = new Disk();
         }
 
+        /** Its disk takes nothing more, until it has room again. */
+        public void full(boolean yes) {
+            disk.full = yes;
+        }
+
         /** Stands still for so long, as a stopped process does. */
         public void pause(long micros) {
             if (council != null && !paused) {
@@ -443,6 +450,7 @@
         private final TreeMap<String, byte[]> kept = new TreeMap<>();
         private Map<String, byte[]> unsynced = new HashMap<>();
         private final long number = ++disks;
+        private boolean full;
 
         @Override
         public SortedMap<String, byte[]> all() {
@@ -451,6 +459,9 @@
 
         @Override
         public long write(Map<String, byte[]> changes) throws StoreException {
+            if (full) {
+                throw new StoreException(StoreException.Kind.UNWRITABLE, "no room");
+            }
             if (plant == Plant.ACK_BEFORE_SYNC) {
                 unsynced.putAll(changes);
                 return number;
--- a/src/test/java/yewdock/council/CouncilSimTest.java
+++ b/src/test/java/yewdock/council/CouncilSimTest.java
@@ -36,6 +36,17 @@
         assertEquals(List.of(), sim.judge().broken());
     }
 
+    /**
+     * The library forgot to ask for votes, at two of three members at once: seed 874, before they began
+     * anew.
+     */
+    @Test
+    void membersWhomNobodyLeadsFindALeader() {
+        CouncilSim sim = troubled(3, 3, 874, Plant.NONE);
+        assertNotNull(sim.leader(), sim.judge().notes().toString());
+        assertTrue(sim.judge().notes().containsKey("agreement.nobody_leads"));
+    }
+
     private static CouncilSim troubled(int members, int followers, long seed, Plant plant) {
         CouncilSim sim = new CouncilSim(members, followers, seed, plant);
         sim.run(5 * SECOND);
@@ -125,6 +136,28 @@
         assertEquals(-1, lists.newest("z"));
     }
 
+    /**
+     * A member whose disk is full votes for nothing; the others go on, and it does when there is room again.
+     */
+    @Test
+    void aMemberWithoutRoomOnItsDiskComesBackByItself() {
+        for (int one = 0; one < 3; one++) {
+            CouncilSim sim = new CouncilSim(3, 1, one + 1, Plant.NONE);
+            sim.run(5 * SECOND);
+            sim.host(one).full(true);
+            sim.propose(sim.host(3));
+            sim.run(8 * SECOND);
+            sim.propose(sim.host(3));
+            sim.run(4 * SECOND);
+            assertTrue(sim.judge().forced() >= 1, "the others did not go on without " + one);
+            assertTrue(sim.host(3).council().holds());
+            sim.host(one).full(false);
+            sim.run(8 * SECOND);
+            assertEquals(sim.leader().council().agreed().chain(), sim.host(one).council().agreed().chain());
+            assertEquals(List.of(), sim.judge().broken());
+        }
+    }
+
     /** It forgot what it voted: it has to ask to be taken in, and votes as another member then. */
     @Test
     void aMemberThatLostItsDiskIsTakenInAnew() {
