One canonical form and one command that asks, where agreement had written twins

Seen on reading the change again for lines that it wrote a second time: Rules.bytes was Records.bytes for another message, and RulesShown was Status with another word. Records.bytes takes any message now, and both commands extend Asking.

--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -176,30 +176,35 @@
         }
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "Which generations live.")
-    static final class Status implements Callable<Integer> {
+    /** What the running daemon says to a word. */
+    abstract static class Asking implements Callable<Integer> {
         private static final long ANSWER_MILLIS = 5_000;
         @CommandLine.Mixin
         private SettingsFile settings;
 
+        abstract String word();
+
         @Override
-        public Integer call() throws Exception {
-            return Operator.ask(settings.read().daemon().control(), "status", List.of(), ANSWER_MILLIS,
+        public final Integer call() throws Exception {
+            return Operator.ask(settings.read().daemon().control(), word(), List.of(), ANSWER_MILLIS,
                     System.out::println);
         }
     }
 
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Which generations live.")
+    static final class Status extends Asking {
+        @Override
+        String word() {
+            return "status";
+        }
+    }
+
     @Command(name = "rules", mixinStandardHelpOptions = true,
             description = "What the running daemon holds of the agreed rules, and the last changes of them.")
-    static final class RulesShown implements Callable<Integer> {
-        private static final long ANSWER_MILLIS = 5_000;
-        @CommandLine.Mixin
-        private SettingsFile settings;
-
+    static final class RulesShown extends Asking {
         @Override
-        public Integer call() throws Exception {
-            return Operator.ask(settings.read().daemon().control(), "rules", List.of(), ANSWER_MILLIS,
-                    System.out::println);
+        String word() {
+            return "rules";
         }
     }
 
--- a/src/main/java/yewdock/council/Feeds.java
+++ b/src/main/java/yewdock/council/Feeds.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import yewdock.rules.Rules;
+import yewdock.state.Records;
 import yewdock.wire.Feed;
 import yewdock.wire.RuleCommand;
 
@@ -26,7 +27,7 @@
             steps.clear();
             bytes = 0;
         }
-        ByteString form = ByteString.copyFrom(Rules.bytes(command));
+        ByteString form = ByteString.copyFrom(Records.bytes(command));
         steps.add(new Step(rules.step(), rules.chain(), form));
         bytes += form.size();
         while (steps.size() > MOST || bytes > MOST_BYTES && steps.size() > 1) {
--- a/src/main/java/yewdock/rules/Rules.java
+++ b/src/main/java/yewdock/rules/Rules.java
@@ -3,10 +3,7 @@
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import com.google.protobuf.ByteString;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,6 +13,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
+import yewdock.state.Records;
 import yewdock.wire.HistoryLine;
 import yewdock.wire.RuleChange;
 import yewdock.wire.RuleCommand;
@@ -73,7 +71,7 @@
             default -> unread(command);
         };
         HashStream64 hash = Hashing.xxh3_64().hashStream();
-        byte[] bytes = bytes(command);
+        byte[] bytes = Records.bytes(command);
         hash.putLong(chain).putBytes(bytes).putInt(bytes.length);
         hash.putInt(outcome.getRefusal()).putLong(outcome.getRevision());
         chain = hash.getAsLong();
@@ -267,21 +265,7 @@
         view = null;
     }
 
-    /** One form for one content. */
-    public static byte[] bytes(com.google.protobuf.Message message) {
-        byte[] bytes = new byte[message.getSerializedSize()];
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.useDeterministicSerialization();
-        try {
-            message.writeTo(out);
-            out.flush();
-        } catch (IOException e) {
-            throw new UncheckedIOException("an array can't fail", e);
-        }
-        return bytes;
-    }
-
-    /** A command as {@link #bytes} wrote it; one of a later program is kept whole. */
+    /** A command as {@link Records#bytes} wrote it; one of a later program is kept whole. */
     public static RuleCommand read(byte[] bytes) throws InvalidProtocolBufferException {
         return RuleCommand.parseFrom(bytes);
     }
--- a/src/main/java/yewdock/state/Records.java
+++ b/src/main/java/yewdock/state/Records.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -147,7 +148,7 @@
     }
 
     /** One form for one content: maps in the order of their keys. */
-    public static byte[] bytes(Kept kept) {
+    public static byte[] bytes(Message kept) {
         byte[] bytes = new byte[kept.getSerializedSize()];
         CodedOutputStream out = CodedOutputStream.newInstance(bytes);
         out.useDeterministicSerialization();
--- a/src/test/java/yewdock/rules/RulesTest.java
+++ b/src/test/java/yewdock/rules/RulesTest.java
@@ -16,6 +16,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import yewdock.state.Records;
 import yewdock.wire.RuleChange;
 import yewdock.wire.RuleCommand;
 import yewdock.wire.RuleOutcome;
@@ -126,7 +127,7 @@
         Rules next = new Rules();
         next.install(rules.snapshot());
         assertEquals(later, next.subjects().get(0).getValue());
-        assertEquals(List.of(ByteString.copyFrom(Rules.bytes(unknown))), next.snapshot().getUnreadList());
+        assertEquals(List.of(ByteString.copyFrom(Records.bytes(unknown))), next.snapshot().getUnreadList());
         assertEquals(3, next.view().step());
         assertEquals(Set.of(), next.view().out());
     }
@@ -154,7 +155,7 @@
             }
             assertEquals(whole.take(command), through.take(command));
         }
-        assertArrayEquals(Rules.bytes(whole.snapshot()), Rules.bytes(through.snapshot()));
+        assertArrayEquals(Records.bytes(whole.snapshot()), Records.bytes(through.snapshot()));
         assertEquals(whole.chain(), through.chain());
         assertEquals(whole.view(), through.view());
     }
