An installation that can't be started whole ends the processes that it has started

Seen: six daemons of a proof lived on after it. Of a proof ended from outside that is so for all proofs; but where a start failed the constructor threw before anybody had the object to close. At fault: AgreedInstallation's constructor. Run: style check, packages; the start's failure itself was seen once, on a busy machine, and not made again.

--- a/src/main/java/yewdock/proof/AgreedInstallation.java
+++ b/src/main/java/yewdock/proof/AgreedInstallation.java
@@ -61,11 +61,17 @@
                 relays[i][j] = new Relay(new InetSocketAddress("127.0.0.1", ports[j]));
             }
         }
-        for (int i = 0; i < size; i++) {
-            routers[i] = launch(i);
-        }
-        for (int i = 0; i < size; i++) {
-            serves(i);
+        try {
+            for (int i = 0; i < size; i++) {
+                routers[i] = launch(i);
+            }
+            for (int i = 0; i < size; i++) {
+                serves(i);
+            }
+        } catch (IOException e) {
+            // nobody else has these processes yet
+            close();
+            throw e;
         }
     }
 
