--- a/src/test/java/yewdock/AgreementTest.java
+++ b/src/test/java/yewdock/AgreementTest.java
@@ -68,6 +68,8 @@
                 assertTrue(!a.box().equals(second) || a.began() < secondAt, "sent to " + second);
             });
             assertTrue(fleet.ledger().atBoxes().stream().anyMatch(a -> a.began() > secondAt));
+            assertTrue(all.router(3).leave(), "a follower does not end: " + all.router(3).log());
+            assertTrue(all.router(0).leave(), "a member does not end: " + all.router(0).log());
         }
     }
 
