--- a/src/test/java/yewdock/AgreementTest.java
+++ b/src/test/java/yewdock/AgreementTest.java
@@ -57,6 +57,9 @@
             assertNotEquals(-1, all.leader());
             all.restart(3);
             all.whole();
+            // the new generation is told before it serves, and the keeper's part goes on
+            assertEquals(0, all.router(1).ask("upgrade", List.of()).exit(), all.router(1).log());
+            all.await(1, s -> s.contains("agreement: lease") && s.contains("votes"));
             String rules = all.router(3).ask("rules", List.of()).lines();
             assertTrue(rules.contains("box/" + second + " = out"), rules);
             assertTrue(rules.contains("noise in its fan"), rules);
