On reading again: twins made one, dead code out, and a council's disk that leaked when reopened

The whole change read once more. What was found and mended: - Written twice: CouncilSim kept a queue of times of its own beside model.Calendar, and looked every target up in a list; the desk refused in doubt by the lines of Door.turnAway; Tries compared a box in two places (mayGetWork); ListWatch.askAnew was the end of move; StoreCommands.Marking was Commands.Asking with words; Archive.mark asked what isKnown asks; Council kept each router's list address beside Lists, the expiry of hellos twice, one number as seed and as incarnation. - Dead: Council.withdraw and leaseUntil, Call.askedAt, an unsynced map that nothing read, a second look at a round's number. The advice of a refusal named a withdrawal that no command makes. - Work not needed: the marks told to all generations again when one is ready (they had them with its state, or as they changed); the whole log read a second time at a start for the disk's number. - Turn's comment of begin stood over leased. Faults found by it: - RaftDisk.anew left the store open when its first write failed: with a real folder the next try met its lock for ever. And where a member that nobody led could not reopen its disk, it counted as one without a log and greeted as new.

--- a/src/main/java/yewdock/Commands.java
+++ b/src/main/java/yewdock/Commands.java
@@ -176,7 +176,7 @@
         }
     }
 
-    /** What the running daemon says to a word. */
+    /** What the running daemon says to a word, and to those that follow it. */
     abstract static class Asking implements Callable<Integer> {
         private static final long ANSWER_MILLIS = 5_000;
         @CommandLine.Mixin
@@ -184,9 +184,17 @@
 
         abstract String word();
 
+        List<String> words() {
+            return List.of();
+        }
+
+        long answerMillis() {
+            return ANSWER_MILLIS;
+        }
+
         @Override
         public final Integer call() throws Exception {
-            return Operator.ask(settings.read().daemon().control(), word(), List.of(), ANSWER_MILLIS,
+            return Operator.ask(settings.read().daemon().control(), word(), words(), answerMillis(),
                     System.out::println);
         }
     }
--- a/src/main/java/yewdock/StoreCommands.java
+++ b/src/main/java/yewdock/StoreCommands.java
@@ -14,7 +14,6 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
-import yewdock.daemon.Operator;
 import yewdock.settings.OperatorSettings;
 import yewdock.state.Keys;
 import yewdock.state.Records;
@@ -28,10 +27,8 @@
     }
 
     /** A mark on a box, told to the daemon; done once it is on the disk. */
-    abstract static class Marking implements Callable<Integer> {
+    abstract static class Marking extends Commands.Asking {
         private static final long ANSWER_MILLIS = 20_000;
-        @CommandLine.Mixin
-        private Commands.SettingsFile settings;
         @Parameters(paramLabel = "BOX", description = "its name on the box list")
         private String box;
         @CommandLine.Option(names = "--here",
@@ -40,13 +37,14 @@
         @CommandLine.Option(names = "--why", description = "where rules are agreed: kept in their history")
         private String why = "";
 
-        abstract String command();
+        @Override
+        final List<String> words() {
+            return here ? List.of(box, "--here") : why.isEmpty() ? List.of(box) : List.of(box, why);
+        }
 
         @Override
-        public final Integer call() throws Exception {
-            return Operator.ask(settings.read().daemon().control(), command(),
-                    here ? List.of(box, "--here") : why.isEmpty() ? List.of(box) : List.of(box, why),
-                    ANSWER_MILLIS, System.out::println);
+        final long answerMillis() {
+            return ANSWER_MILLIS;
         }
     }
 
@@ -54,7 +52,7 @@
             description = "A box gets no new work until undrain, whatever the list says.")
     static final class Drain extends Marking {
         @Override
-        String command() {
+        String word() {
             return "drain";
         }
     }
@@ -63,7 +61,7 @@
             description = "Takes the mark on a box back: what the list says holds again.")
     static final class Undrain extends Marking {
         @Override
-        String command() {
+        String word() {
             return "undrain";
         }
     }
@@ -84,7 +82,7 @@
             description = "A box counts as gone until it starts anew, or until undrain.")
     static final class Gone extends Marking {
         @Override
-        String command() {
+        String word() {
             return "mark-gone";
         }
     }
--- a/src/main/java/yewdock/council/Council.java
+++ b/src/main/java/yewdock/council/Council.java
@@ -27,7 +27,6 @@
 import yewdock.wire.RuleChange;
 import yewdock.wire.RuleCommand;
 import yewdock.wire.RuleOutcome;
-import yewdock.wire.Withdrawal;
 
 /**
  * One instance's part in an agreement: it holds the rules and a lease to act by them, and if it is a member
@@ -82,7 +81,7 @@
     private final Instance instance;
     private RaftDisk disk;
     private final Endpoint self;
-    private final long seed;
+    /** Drawn anew with each start, and so what this process is told apart by. */
     private final long incarnation;
     private final Rules held = new Rules();
     private final Lease lease;
@@ -90,7 +89,6 @@
     private final Feeds feeds = new Feeds();
     private final Lists lists = new Lists();
     private final Map<String, Long> fed = new HashMap<>();
-    private final Map<String, String> listOf = new HashMap<>();
     private final Map<String, Long> forced = new HashMap<>();
     private final Map<Long, Wait> proposals = new HashMap<>();
     private final Map<String, Hello> fresh = new TreeMap<>();
@@ -102,7 +100,7 @@
     private long takenStep;
     private long takenChain;
     private long rounds;
-    private long lastRound;
+    private boolean roundOut;
     private long roundUntil;
     private long numbers;
     private boolean changing;
@@ -129,7 +127,6 @@
         this.loop = loop;
         this.instance = instance;
         this.disk = disk;
-        this.seed = seed;
         this.incarnation = seed;
         this.lease = new Lease(terms.lease());
         this.grants = new Grants(terms.lease());
@@ -158,6 +155,7 @@
             return;
         }
         renew();
+        fresh.values().removeIf(h -> loop.now() - h.at >= HELLO_HOLDS);
         if (disk != null && disk.broken()) {
             again("agreement.disk_failed");
         } else if (member != null && member.stuck()) {
@@ -186,7 +184,6 @@
         if (member != null) {
             instance.note(event, "now", "this member begins anew from its disk");
             grants.follows();
-            member.close();
             member = null;
             changing = false;
         }
@@ -212,11 +209,6 @@
         return member == null ? null : member.rules();
     }
 
-    /** Until when it may act by that, on the loop's clock. */
-    public long leaseUntil() {
-        return lease.until();
-    }
-
     /** Whether it may act now. */
     public boolean holds() {
         return lease.holds(loop.now());
@@ -373,16 +365,6 @@
                 });
     }
 
-    /** Asks for a change under way to be dropped; only at the instance that leads. */
-    public boolean withdraw(String id, String who) {
-        if (!leads()) {
-            return false;
-        }
-        member.replicate(RuleCommand.newBuilder().setWithdraw(Withdrawal.newBuilder().setId(id).setWho(who))
-                .build());
-        return true;
-    }
-
     // ---- frames
 
     /** A frame has come from this instance. */
@@ -433,7 +415,6 @@
             return;
         }
         fed.put(from, call.getStep());
-        listOf.put(from, call.getListAddress());
         lists.heard(from, call.getListAddress(), call.getListVersion());
         if (!feeds.same(call.getStep(), call.getChain())) {
             instance.note("agreement.diverged", "instance", from, "step", call.getStep());
@@ -456,22 +437,23 @@
 
     /** One round of confirming at a time, for all calls that wait. */
     private void round() {
-        if (rounds != lastRound && loop.now() < roundUntil) {
-            return;
-        }
-        if (rounds != lastRound) {
+        if (roundOut) {
+            if (loop.now() < roundUntil) {
+                return;
+            }
             grants.roundFailed();
         }
-        if (!grants.beginRound()) {
+        roundOut = grants.beginRound();
+        if (!roundOut) {
             return;
         }
         long mine = ++rounds;
         roundUntil = loop.now() + ROUND_TIMEOUT;
         member.confirm().whenComplete((done, failed) -> {
-            if (mine != rounds || lastRound == mine) {
+            if (mine != rounds) {
                 return;
             }
-            lastRound = mine;
+            roundOut = false;
             if (failed != null) {
                 grants.roundFailed();
                 return;
@@ -479,7 +461,7 @@
             for (Grants.Ask ask : grants.confirmed(member.rules().prepared(), loop.now())) {
                 send(ask.router(), CouncilFrame.newBuilder().setGranted(Granted.newBuilder()
                         .setNumber(ask.number()).setIncarnation(ask.incarnation())
-                        .setListVersion(lists.newest(listOf.getOrDefault(ask.router(), "")))).build());
+                        .setListVersion(lists.newestFor(ask.router()))).build());
             }
             take();
             round();
@@ -536,7 +518,7 @@
                 feedAll();
             }
         };
-        member = new Member(loop, terms.cluster(), self, founders, disk, seed, hearer, (to, frame) ->
+        member = new Member(loop, terms.cluster(), self, founders, disk, incarnation, hearer, (to, frame) ->
                 send(to, CouncilFrame.newBuilder().setRaft(frame).build()), instance::reaches);
         instance.note("agreement.member", "council", member.group());
     }
@@ -547,7 +529,6 @@
      * of them are new.
      */
     private void greet() {
-        fresh.values().removeIf(h -> loop.now() - h.at >= HELLO_HOLDS);
         fresh.put(terms.self(), new Hello(self.id(), loop.now()));
         for (String other : terms.members()) {
             if (!other.equals(terms.self())) {
@@ -581,7 +562,6 @@
         if (!leads() || changing) {
             return;
         }
-        fresh.values().removeIf(h -> loop.now() - h.at >= HELLO_HOLDS);
         Map<String, Boolean> now = member.members();
         for (Map.Entry<String, Hello> one : fresh.entrySet()) {
             String endpoint = one.getValue().endpoint;
--- a/src/main/java/yewdock/council/Lists.java
+++ b/src/main/java/yewdock/council/Lists.java
@@ -26,6 +26,12 @@
         }
     }
 
+    /** The newest version that any router holds of the list that this one acts on; -1 if it has told none. */
+    long newestFor(String router) {
+        Told told = byRouter.get(router);
+        return told == null ? -1 : newest(told.address);
+    }
+
     /** The newest version that any router holds of the list there; -1 if none does. */
     long newest(String address) {
         return newest.getOrDefault(address, -1L);
--- a/src/main/java/yewdock/council/Member.java
+++ b/src/main/java/yewdock/council/Member.java
@@ -25,7 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import yewdock.rules.Rules;
 import yewdock.wire.NewTerm;
@@ -53,8 +53,7 @@
 
     private final Loop loop;
     private final Rules rules = new Rules();
-    private final Runnable stepped;
-    private final Consumer<RuleCommand> agreed;
+    private final Hearer hearer;
     private final RaftDisk disk;
     private final RaftNode node;
     private final String group;
@@ -83,11 +82,10 @@
      * @param up whether the instance of this name can be reached
      */
     Member(Loop loop, String cluster, Endpoint self, List<String> founders, RaftDisk disk, long seed,
-            Hearer hearer, Sender send, Function<String, Boolean> up) {
+            Hearer hearer, Sender send, Predicate<String> up) {
         this.loop = loop;
         this.disk = disk;
-        this.stepped = hearer::stepped;
-        this.agreed = hearer::agreed;
+        this.hearer = hearer;
         this.founders = disk.restored() == null ? founders
                 : disk.restored().getInitialGroupMembers().getMembers().stream()
                         .map(e -> String.valueOf(e.getId())).sorted().toList();
@@ -101,7 +99,7 @@
                         .setRaftNodeReportPublishPeriodSecs(REPORT_SECONDS).build())
                 .setExecutor(new OnLoop()).setTransport(new Over(send, up)).setStore(disk)
                 .setStateMachine(new Machine()).setModelFactory(RaftCodec.MODEL).setRandom(new Random(seed))
-                .setClock(new Faster()).setRaftNodeReportListener(r -> report(r, hearer));
+                .setClock(new Faster()).setRaftNodeReportListener(this::report);
         if (disk.restored() != null) {
             builder.setRestoredState(disk.restored());
         } else {
@@ -117,7 +115,7 @@
         void send(String instance, RaftFrame frame);
     }
 
-    private void report(RaftNodeReport report, Hearer hearer) {
+    private void report(RaftNodeReport report) {
         boolean now = report.getRole() == RaftRole.LEADER;
         if (now != leading) {
             leading = now;
@@ -263,9 +261,9 @@
 
     private final class Over implements Transport {
         private final Sender sender;
-        private final Function<String, Boolean> up;
+        private final Predicate<String> up;
 
-        Over(Sender sender, Function<String, Boolean> up) {
+        Over(Sender sender, Predicate<String> up) {
             this.sender = sender;
             this.up = up;
         }
@@ -280,7 +278,7 @@
 
         @Override
         public boolean isReachable(RaftEndpoint endpoint) {
-            return up.apply(((Endpoint) endpoint).name());
+            return up.test(((Endpoint) endpoint).name());
         }
     }
 
@@ -291,8 +289,8 @@
                 return null;
             }
             RuleOutcome outcome = rules.take(command);
-            agreed.accept(command);
-            loop.after(0, stepped);
+            hearer.agreed(command);
+            loop.after(0, hearer::stepped);
             return outcome;
         }
 
@@ -304,7 +302,7 @@
         @Override
         public void installSnapshot(long index, List<Object> chunks) {
             rules.install((RulesSnapshot) chunks.get(0));
-            loop.after(0, stepped);
+            loop.after(0, hearer::stepped);
         }
 
         @Override
--- a/src/main/java/yewdock/council/RaftDisk.java
+++ b/src/main/java/yewdock/council/RaftDisk.java
@@ -42,6 +42,7 @@
     private final Shelf.Opening opening;
     private final Shelf shelf;
     private boolean broken;
+    private String number;
     private Map<String, byte[]> waiting = new HashMap<>();
     private long first = 1;
     private long last;
@@ -55,7 +56,12 @@
         } catch (StoreException e) {
             throw new IOException("the council's log can't be opened: " + e.getMessage(), e);
         }
-        restore();
+        try {
+            restore();
+        } catch (IOException e) {
+            shelf.close();
+            throw e;
+        }
     }
 
     /**
@@ -66,12 +72,22 @@
         return broken;
     }
 
-    /** The same opened anew, once it takes writes again. */
+    /**
+     * The same opened anew, once it takes writes. This one is at its end, and nothing of the member that
+     * had it runs any more; where this fails, it may be tried again.
+     */
     RaftDisk anew() throws IOException {
+        broken = true;
         shelf.close();
         RaftDisk next = new RaftDisk(opening);
-        next.waiting.put(TRIED, new byte[] {1});
-        next.flush();
+        try {
+            next.waiting.put(TRIED, new byte[] {1});
+            next.flush();
+        } catch (IOException e) {
+            // left open, it would keep the next try out
+            next.close();
+            throw e;
+        }
         return next;
     }
 
@@ -82,6 +98,9 @@
 
     private void restore() throws IOException {
         SortedMap<String, byte[]> all = shelf.all();
+        if (all.containsKey(DISK)) {
+            number = new String(all.get(DISK), StandardCharsets.UTF_8);
+        }
         if (!all.containsKey(SELF) || !all.containsKey(FOUNDERS)) {
             return;
         }
@@ -132,15 +151,14 @@
         return restored;
     }
 
-    /** The disk's own number, made when it is first asked for. */
+    /** The disk's own number; a fresh one where it has none yet. */
     String number(String fresh) throws IOException {
-        byte[] kept = shelf.all().get(DISK);
-        if (kept != null) {
-            return new String(kept, StandardCharsets.UTF_8);
+        if (number == null) {
+            number = fresh;
+            waiting.put(DISK, fresh.getBytes(StandardCharsets.UTF_8));
+            flush();
         }
-        waiting.put(DISK, fresh.getBytes(StandardCharsets.UTF_8));
-        flush();
-        return fresh;
+        return number;
     }
 
     // ---- what Raft has kept
--- a/src/main/java/yewdock/daemon/Agreement.java
+++ b/src/main/java/yewdock/daemon/Agreement.java
@@ -196,7 +196,7 @@
             after(0, () -> {
                 Told told = new Told(link);
                 generations.put(generation, told);
-                boxesOut.accept(view.out());
+                // the marks of this view were sent to it before: with its state, or as they changed
                 tell(told);
             });
         } else if (frame.hasTakenUp()) {
--- a/src/main/java/yewdock/daemon/Archive.java
+++ b/src/main/java/yewdock/daemon/Archive.java
@@ -284,14 +284,16 @@
             case "mark-gone" -> Mark.Kind.GONE;
             default -> null;
         };
-        if (agreement != null && agreement.asked(command, words, box -> isKnown(box), answer)) {
+        if (agreement != null && agreement.asked(command, words, this::isKnown, answer)) {
             return true;
         }
         if (kind == null) {
             return false;
         }
-        if (words.isEmpty()) {
-            answer.accept(last("one box is to be named", 1));
+        boolean here = agreement != null && words.size() == 2 && words.get(1).equals(Agreement.HERE);
+        if (words.size() != 1 && !here) {
+            answer.accept(last("one box is to be named" + (agreement == null
+                    ? ", and nothing else: nothing is agreed here" : ""), 1));
             return true;
         }
         mark(words.get(0), kind, answer);
@@ -308,7 +310,7 @@
             answer.accept(last(box + " has no mark", 1));
             return;
         }
-        if (kind != Mark.Kind.NONE && keeping.known(box).isEmpty()) {
+        if (kind != Mark.Kind.NONE && !isKnown(box)) {
             answer.accept(last("no box of the name " + box + " is known", 1));
             return;
         }
--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -241,6 +241,11 @@
                             .setLast(true).setExit(1).build());
                     return;
                 }
+                if (frame.getAsk().getCommand().equals("rules")) {
+                    answer(Answer.newBuilder().setLine("nothing is agreed here: agreement.members is not set")
+                            .setLast(true).setExit(1).build());
+                    return;
+                }
                 operators.put(command, link);
                 if (archive != null && frame.getAsk().getCommand().equals("status")) {
                     archive.status().forEach(l -> answer(Answer.newBuilder().setLine(l).build()));
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -309,9 +309,7 @@
             answers.twin(e);
         } else if (turn.inDoubt()) {
             turn.count("answers.refused_in_doubt");
-            turn.count("answers.refused");
-            answers.ended(r, Ending.REJECTED);
-            turn.effect(new Effect.Refuse(e.client(), turn.comeBack()));
+            turnAway(e, turn.comeBack());
         } else if (others.asking()) {
             others.claim(e);
         } else {
@@ -319,6 +317,13 @@
         }
     }
 
+    /** Refuses a request that the module has not heard of. */
+    private void turnAway(Event.Asked e, long comeBack) {
+        turn.count("answers.refused");
+        answers.ended(e.request(), Ending.REJECTED);
+        turn.effect(new Effect.Refuse(e.client(), comeBack));
+    }
+
     // ---- the box list
 
     private void started(Event.Started e) {
@@ -383,9 +388,7 @@
 
         @Override
         public void turnAway(Event.Asked asked) {
-            turn.count("answers.refused");
-            answers.ended(asked.request(), Ending.REJECTED);
-            turn.effect(new Effect.Refuse(asked.client(), 0));
+            Desk.this.turnAway(asked, 0);
         }
     }
 
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -95,6 +95,10 @@
         version = -1;
         failures = 0;
         silences = 0;
+        hangUpAndAsk();
+    }
+
+    private void hangUpAndAsk() {
         if (out) {
             effects.accept(new Effect.HangUpList());
         }
@@ -103,11 +107,8 @@
 
     /** Another router has a newer list: the call that is out should have brought it, so it is broken. */
     void askAnew() {
-        if (out) {
-            effects.accept(new Effect.HangUpList());
-        }
         counters.add("list.behind");
-        ask(0);
+        hangUpAndAsk();
     }
 
     String address() {
--- a/src/main/java/yewdock/desk/Tries.java
+++ b/src/main/java/yewdock/desk/Tries.java
@@ -50,10 +50,15 @@
         }
     }
 
+    /** A box that is known and takes work, as far as this router may act by what it knows. */
+    private boolean mayGetWork(ModelBox box) {
+        return box != null && box.takesWork() && !turn.inDoubt();
+    }
+
     private void start(Try t) {
         Owed o = t.owed;
         ModelBox box = boxes.get(t.box);
-        if (box == null || !box.takesWork() || turn.inDoubt()) {
+        if (!mayGetWork(box)) {
             end(t, Outcome.NOT_SENT, 0, null);
             return;
         }
@@ -176,7 +181,7 @@
         line.up = true;
         ModelBox box = boxes.get(line.box.id());
         // The box may have begun to drain, or have moved, while the connection was being made.
-        if (box == null || !box.takesWork() || turn.inDoubt()) {
+        if (!mayGetWork(box)) {
             hangUp(line.current, Outcome.NOT_SENT);
         } else {
             carry(line, line.current);
--- a/src/main/java/yewdock/desk/Turn.java
+++ b/src/main/java/yewdock/desk/Turn.java
@@ -36,7 +36,6 @@
         module = made;
     }
 
-    /** The next event's turn begins; time never goes back. */
     /** What is agreed may be acted by until then. */
     void leased(long until, long next) {
         leasedUntil = until;
@@ -56,6 +55,7 @@
         return comeBack;
     }
 
+    /** The next event's turn begins; time never goes back. */
     void begin(long time) {
         now = Math.max(now, time);
         effects = new ArrayList<>();
--- a/src/main/java/yewdock/proof/CouncilJudge.java
+++ b/src/main/java/yewdock/proof/CouncilJudge.java
@@ -41,7 +41,7 @@
     private long inDoubt;
 
     /** A change that is asked for; the latest step answered before. */
-    record Call(RuleChange change, long askedAt, long after) {
+    record Call(RuleChange change, long after) {
     }
 
     CouncilJudge(long agreedWithin) {
@@ -54,9 +54,9 @@
         }
     }
 
-    Call asks(RuleChange change, long now) {
+    Call asks(RuleChange change) {
         // a retry is answered with the outcome of the first call
-        return new Call(change, now, firstAsked.computeIfAbsent(change.getId(), id -> answeredStep));
+        return new Call(change, firstAsked.computeIfAbsent(change.getId(), id -> answeredStep));
     }
 
     void answered(Call call, Proposed answer, long now) {
--- a/src/main/java/yewdock/proof/CouncilSim.java
+++ b/src/main/java/yewdock/proof/CouncilSim.java
@@ -9,7 +9,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
@@ -19,6 +18,7 @@
 import yewdock.council.RaftDisk;
 import yewdock.lease.LeaseTerms;
 import yewdock.log.Say;
+import yewdock.model.Calendar;
 import yewdock.rules.Kind;
 import yewdock.rules.View;
 import yewdock.store.Shelf;
@@ -48,28 +48,18 @@
 
     private final SplittableRandom random;
     private final Plant plant;
-    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private final Calendar calendar = new Calendar();
     private final List<Host> hosts = new ArrayList<>();
+    private final Map<String, Host> byName = new HashMap<>();
     private final List<String> members;
     private final Set<String> cut = new HashSet<>();
     private final CouncilJudge judge = new CouncilJudge(AGREED_WITHIN);
-    private long now;
-    private long order;
     private double loss;
     private long sent;
     private int changes;
     private int asked;
-    private long disks;
     private int listsCaughtUp;
 
-    private record Task(long at, long order, Runnable work) implements Comparable<Task> {
-        @Override
-        public int compareTo(Task other) {
-            int by = Long.compare(at, other.at);
-            return by != 0 ? by : Long.compare(order, other.order);
-        }
-    }
-
     /** So many members and followers. */
     public CouncilSim(int members, int followers, long seed, Plant plant) {
         Say.onlyEvents();
@@ -81,25 +71,21 @@
         }
         this.members = names.subList(0, members);
         for (String name : names) {
-            hosts.add(new Host(name));
+            Host host = new Host(name);
+            hosts.add(host);
+            byName.put(name, host);
         }
         hosts.forEach(Host::start);
         at(0, this::decide);
     }
 
     private void at(long delay, Runnable work) {
-        tasks.add(new Task(now + delay, ++order, work));
+        calendar.at(now() + delay, work);
     }
 
     /** Lets so much time pass. */
     public void run(long micros) {
-        long until = now + micros;
-        while (!tasks.isEmpty() && tasks.peek().at <= until) {
-            Task task = tasks.poll();
-            now = task.at;
-            task.work.run();
-        }
-        now = until;
+        calendar.runTo(now() + micros);
     }
 
     /** The judge of this run. */
@@ -123,7 +109,7 @@
     }
 
     public long now() {
-        return now;
+        return calendar.now();
     }
 
     public int size() {
@@ -178,8 +164,8 @@
 
     /** One trouble after the other, drawn from the seed, with changes all along; ends whole. */
     public void trouble(long micros) {
-        long until = now + micros;
-        while (now < until) {
+        long until = now() + micros;
+        while (now() < until) {
             switch (random.nextInt(10)) {
                 case 0 -> cutOff(any(), true, true);
                 case 1 -> cutOff(any(), random.nextBoolean(), true);
@@ -234,9 +220,9 @@
     /** The same change again where nobody took it: it must be applied once. */
     private void propose(Host at, RuleChange change, int tries) {
         asked++;
-        CouncilJudge.Call call = judge.asks(change, now);
+        CouncilJudge.Call call = judge.asks(change);
         at.council.propose(change, (Proposed answer) -> {
-            judge.answered(call, answer, now);
+            judge.answered(call, answer, calendar.now());
             if (answer.hasOutcome() && random.nextInt(4) == 0 || !answer.hasOutcome() && tries > 1) {
                 at(random.nextLong(SECOND), () -> {
                     if (at.council != null && !at.paused && tries > 1) {
@@ -252,7 +238,7 @@
         for (Host h : hosts) {
             if (h.council != null && !h.paused) {
                 boolean may = plant == Plant.TIMER_ALONE ? h.leased : h.council.holds();
-                judge.decides(h.name, may, h.council.held().step(), h.view, now);
+                judge.decides(h.name, may, h.council.held().step(), h.view, calendar.now());
             }
         }
         at(DECIDE_EVERY, this::decide);
@@ -310,7 +296,7 @@
             }
         }
 
-        /** The process dies at once; what was not synced is lost. */
+        /** The process dies at once. */
         public void kill() {
             life++;
             if (council != null) {
@@ -319,7 +305,6 @@
             council = null;
             held.clear();
             paused = false;
-            disk.crash();
         }
 
         /** Dies, and comes back with an empty disk. */
@@ -355,7 +340,7 @@
                 if (council != null) {
                     // the first thing that a woken process does may be to take a decision
                     judge.decides(name, plant == Plant.TIMER_ALONE ? leased : council.holds(),
-                            council.held().step(), view, now);
+                            council.held().step(), view, calendar.now());
                 }
                 all.forEach(Runnable::run);
             }
@@ -370,14 +355,14 @@
             } else {
                 work.run();
                 if (council != null && members.contains(name)) {
-                    judge.stands(name, council, now);
+                    judge.stands(name, council, calendar.now());
                 }
             }
         }
 
         @Override
         public long now() {
-            return offset + (long) (now * rate);
+            return offset + (long) (calendar.now() * rate);
         }
 
         @Override
@@ -393,7 +378,7 @@
                 return;
             }
             byte[] bytes = frame.toByteArray();
-            Host target = hosts.stream().filter(h -> h.name.equals(to)).findFirst().orElseThrow();
+            Host target = byName.get(to);
             int copies = loss > 0 && random.nextInt(20) == 0 ? 2 : 1;
             for (int i = 0; i < copies; i++) {
                 long late = loss > 0 && random.nextInt(10) == 0 ? random.nextLong(SECOND) : 0;
@@ -441,16 +426,17 @@
 
         @Override
         public void note(String event, Object... fields) {
-            judge.notes(event, name + " " + Arrays.toString(fields), now);
+            judge.notes(event, name + " " + Arrays.toString(fields), calendar.now());
         }
     }
 
-    /** A disk in memory, which keeps nothing that was not synced. */
+    /**
+     * A disk in memory; where writes are answered before the sync, a crash finds that none has come to it.
+     */
     private final class Disk implements Shelf {
         private final TreeMap<String, byte[]> kept = new TreeMap<>();
-        private Map<String, byte[]> unsynced = new HashMap<>();
-        private final long number = ++disks;
         private boolean full;
+        private long writes;
 
         @Override
         public SortedMap<String, byte[]> all() {
@@ -462,27 +448,16 @@
             if (full) {
                 throw new StoreException(StoreException.Kind.UNWRITABLE, "no room");
             }
-            if (plant == Plant.ACK_BEFORE_SYNC) {
-                unsynced.putAll(changes);
-                return number;
+            if (plant != Plant.ACK_BEFORE_SYNC) {
+                changes.forEach((k, v) -> {
+                    if (v == null) {
+                        kept.remove(k);
+                    } else {
+                        kept.put(k, v);
+                    }
+                });
             }
-            keep(changes);
-            return number;
-        }
-
-        private void keep(Map<String, byte[]> changes) {
-            changes.forEach((k, v) -> {
-                if (v == null) {
-                    kept.remove(k);
-                } else {
-                    kept.put(k, v);
-                }
-            });
-        }
-
-        /** With acks before the sync, a crash finds the last writes lost. */
-        void crash() {
-            unsynced = new HashMap<>();
+            return ++writes;
         }
 
         @Override
--- a/src/main/java/yewdock/rules/Refusal.java
+++ b/src/main/java/yewdock/rules/Refusal.java
@@ -7,7 +7,7 @@
             "look at it again, and ask for the change from there"),
     /** Another change of the same subject has not taken force yet. */
     UNDER_WAY(2, "another change of the same subject is under way",
-            "wait until that one is in force, or have it withdrawn"),
+            "wait until that one is in force, and ask again"),
     /** No such subject, or a value that it can't have. */
     UNFIT(3, "the subject or its value is not one that this program knows",
             "name a box, a municipality or a setting that is there, with a value in its bounds"),
--- a/src/test/java/yewdock/StoreDaemonTest.java
+++ b/src/test/java/yewdock/StoreDaemonTest.java
@@ -86,6 +86,8 @@
             try (Router router = start(fleet, "a", store(kept))) {
                 ask(router, "drain", box);
                 assertEquals(1, router.ask("drain", List.of("nobody")).exit());
+                assertEquals(1, router.ask("drain", List.of(box, "--here")).exit(), "nothing is agreed here");
+                assertEquals(1, router.ask("rules", List.of()).exit());
                 assertEquals(0, router.ask("upgrade", List.of()).exit());
                 load(fleet, router.address(), 1, 400);
             }
