A client's end is seen at once: before its requests that wait, and behind what it sent ahead

Seen, with the two tests of GoneClientTest on the code before: - thirty clients ask and leave while the desk's thread is busy: all thirty requests were taken afterwards and connections opened for them (answers.left_before 30, lines.opened 30), since each end stood in the queue behind the work of all. - 300 KiB behind an open request: past 64 KiB the connection was read no more, so its end was not seen until the answer; the client got one after its end. Checked and ruled out: an end while a connection is made (Lines.close, Tries.lineUp), while a second attempt waits for the first's connection (Tries.end), while the module holds or retries (requestGone): each ends without an attempt.

At fault: Sockets.Handler.sessionClosed (queue.add), ClientSide.received (wire.hold). Change: the ends of clients' connections go to the queue's head, where operators' and servers' stay in order; what a client sends past 64 KiB behind an open request is thrown away and read on, and that connection closes with its answer.

--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -15,7 +15,7 @@
 final class ClientSide implements Side, MessageReader.Sink {
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final double MICROS = 1e6;
-    /** A client that sends on while its request is open is no longer read past so many bytes. */
+    /** What a client sends on while its request is open is kept up to so many bytes. */
     private static final int MOST_AHEAD = 64 * 1024;
 
     private final Front front;
@@ -31,7 +31,11 @@
     private boolean busy;
     private boolean begun;
     private boolean closing;
-    private boolean held;
+    /**
+     * Whether more came behind the open request than is kept. It is read on and thrown away, or the client's
+     * end behind it would not be seen, and the connection closes with the answer.
+     */
+    private boolean overrun;
     /** Whether the client may still be sending what was not read. */
     private boolean gently;
 
@@ -58,9 +62,12 @@
         ahead.add(bytes);
         aheadBytes += bytes.remaining();
         readOn();
-        if (aheadBytes > MOST_AHEAD && !closing) {
-            held = true;
-            wire.hold(true);
+        if (aheadBytes > MOST_AHEAD && busy) {
+            overrun = true;
+        }
+        if (overrun) {
+            ahead.clear();
+            aheadBytes = 0;
         }
     }
 
@@ -241,7 +248,7 @@
     }
 
     private String connection() {
-        if (closing || front.leaving() || head != null && !head.keepsAlive()) {
+        if (closing || overrun || front.leaving() || head != null && !head.keepsAlive()) {
             closing = true;
             return "Connection: close\r\n";
         }
@@ -252,8 +259,9 @@
         busy = false;
         request = null;
         forgetBody();
-        if (closing) {
-            if (gently) {
+        if (closing || overrun) {
+            closing = true;
+            if (gently || overrun) {
                 wire.closeGently();
             } else {
                 wire.closeAfterWriting();
@@ -264,10 +272,6 @@
             closeIfIdle();
             return;
         }
-        if (held) {
-            held = false;
-            wire.hold(false);
-        }
         front.happened(new Event.ClientQuiet(id));
         readOn();
     }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -13,12 +13,12 @@
 import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.AbstractSelector;
 import java.nio.channels.spi.SelectorProvider;
-import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -62,7 +62,7 @@
     private static final long LAST_WRITES_MILLIS = 300;
     private static final long LONGEST_SLEEP = 1_000_000;
 
-    private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+    private final BlockingDeque<Task> queue = new LinkedBlockingDeque<>();
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "mina");
         thread.setDaemon(true);
@@ -157,6 +157,11 @@
         Logger.info("operators call {}", also.getLocalAddress());
     }
 
+    /** How much waits for the desk's thread. */
+    int waiting() {
+        return queue.size();
+    }
+
     /** Has the desk's thread do this, after all that has come before it; any thread may call it. */
     public void post(Runnable work) {
         queue.add(new Task(null, work));
@@ -488,7 +493,11 @@
                 wire.session = session;
                 session.setAttribute(WIRE, wire);
                 session.getCloseFuture().addListener(closed -> room.release());
-                queue.add(new Task(wire, () -> wire.side = greet.apply(wire)));
+                queue.add(new Task(wire, () -> {
+                    if (!wire.isDown) {
+                        wire.side = greet.apply(wire);
+                    }
+                }));
             }
         }
 
@@ -523,20 +532,38 @@
         public void messageSent(IoSession session, Object message) {
             SessionWire wire = wire(session);
             int bytes = ((IoBuffer) message).limit();
-            queue.add(new Task(wire, () -> wire.side.written(bytes)));
+            queue.add(new Task(wire, () -> {
+                if (!wire.isDown) {
+                    wire.side.written(bytes);
+                }
+            }));
         }
 
         /** Only a connection that is being closed gently has an idle time. */
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
             SessionWire wire = wire(session);
-            queue.add(new Task(wire, () -> wire.side.idle()));
+            queue.add(new Task(wire, () -> {
+                if (!wire.isDown) {
+                    wire.side.idle();
+                }
+            }));
         }
 
+        /**
+         * A client is gone at once, before all that waits to be done: what still came of its bytes would
+         * begin attempts that nobody waits for. Of others, what came before their end still counts: an
+         * answer, an operator's call.
+         */
         @Override
         public void sessionClosed(IoSession session) {
             SessionWire wire = wire(session);
-            queue.add(new Task(wire, wire::down));
+            Task end = new Task(wire, wire::down);
+            if (room == Sockets.this.room) {
+                queue.addFirst(end);
+            } else {
+                queue.add(end);
+            }
         }
 
         /** Resets and the like; the session closes, and that is what counts. */
--- /dev/null
+++ b/src/test/java/yewdock/sockets/GoneClientTest.java
@@ -0,0 +1,142 @@
+package yewdock.sockets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import umberspread.GenerationRouter;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Terms;
+import yewdock.platform.Config;
+import yewdock.platform.Front;
+
+/** Clients that close their connections have gone: no attempt is begun for them any more. */
+class GoneClientTest {
+    private static final int CLIENTS = 30;
+    /** What each of them puts into the queue: made, opened, its request's bytes, closed. */
+    private static final int TASKS = 4;
+    private static final int BEHIND = 300 * 1024;
+
+    private final Counters counters = new Counters();
+    private final Sockets sockets = new Sockets(CLIENTS);
+    private ServerSocket silentServer;
+    private InetSocketAddress at;
+    private Thread serves;
+
+    /** A router whose servers take connections and say nothing. */
+    @BeforeEach
+    void serve() throws Exception {
+        silentServer = new ServerSocket(0, CLIENTS, InetAddress.getByName("127.0.0.1"));
+        String file = Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replaceAll("127.0.0.1:900[12]", "127.0.0.1:" + silentServer.getLocalPort());
+        Config config = Config.read(file, line -> { });
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
+                actions -> new GenerationRouter(config.settings(), 1, actions));
+        Front front = new Front(config, desk, counters, sockets, sockets.clock(), line -> { });
+        CompletableFuture<String> address = new CompletableFuture<>();
+        serves = new Thread(() -> sockets.serveLater(() -> {
+            front.start();
+            try {
+                address.complete(sockets.listenBeside("127.0.0.1:0"));
+            } catch (java.io.IOException e) {
+                address.completeExceptionally(e);
+            }
+        }, front, desk));
+        serves.setDaemon(true);
+        serves.start();
+        String[] parts = address.get(10, TimeUnit.SECONDS).split(":");
+        at = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        sockets.post(sockets::stop);
+        serves.join(10_000);
+        silentServer.close();
+    }
+
+    private Socket asks(String id) throws Exception {
+        Socket client = new Socket();
+        client.setSoTimeout(3_000);
+        client.setTcpNoDelay(true);
+        client.connect(at, 10_000);
+        client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\n"
+                + "X-Correlation-Id: " + id + "\r\nX-Service-Class: chat\r\nX-Account: lalitpur-metro\r\n"
+                + "X-Session-Key: 7f3a\r\nX-Time-Left: 8.000\r\n"
+                + "X-Facts: prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800\r\n"
+                + "Content-Length: 16\r\n\r\n{\"model\":\"chat\"}").getBytes(StandardCharsets.US_ASCII));
+        return client;
+    }
+
+    private long counted(String counter) throws Exception {
+        CompletableFuture<String> all = new CompletableFuture<>();
+        sockets.post(() -> all.complete(counters.toString()));
+        return all.get(10, TimeUnit.SECONDS).lines().filter(l -> l.startsWith(counter + ' '))
+                .mapToLong(l -> Long.parseLong(l.substring(counter.length() + 1))).sum();
+    }
+
+    /** While the router is busy, many ask and leave: their ends are not behind what they have asked. */
+    @Test
+    void aBurstOfLeavingClientsBeginsNoAttempts() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        sockets.post(() -> {
+            try {
+                busy.await(30, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            Socket client = asks("a" + i);
+            client.shutdownOutput();
+            clients.add(client);
+        }
+        for (Socket client : clients) {
+            assertEquals(-1, client.getInputStream().read(), "its end is not seen");
+        }
+        long patience = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (sockets.waiting() < CLIENTS * TASKS && System.nanoTime() < patience) {
+            Thread.onSpinWait();
+        }
+        assertTrue(sockets.waiting() >= CLIENTS * TASKS, "queued " + sockets.waiting());
+        busy.countDown();
+        assertEquals(0, counted("lines.opened"), "connections were opened for clients that had gone");
+        assertEquals(0, counted("answers.left_before"));
+        for (Socket client : clients) {
+            client.close();
+        }
+        Socket stays = asks("stays");
+        silentServer.setSoTimeout(10_000);
+        silentServer.accept().close();
+        stays.close();
+    }
+
+    /** What lies unread behind an open request must not hide its client's end. */
+    @Test
+    void anEndBehindMuchThatWasSentAheadIsSeen() throws Exception {
+        try (Socket client = asks("b1")) {
+            client.getOutputStream().write(new byte[BEHIND]);
+            client.shutdownOutput();
+            InputStream in = client.getInputStream();
+            assertEquals(-1, in.read(), "was answered");
+        }
+        assertEquals(1, counted("answers.left_before"));
+    }
+}
