Dear prompts leave a home that is full by its report, not by an own count of one

Unread tokens a request rose from 2,400 to 9,000 within 10 s, and first tokens late with them (2 % to 40 %). Checked and ruled out: memory (nothing kept was dropped at the server that had it), spread (96 % of keys had one home).

At fault: pick() applied the bound to all prompts as soon as any server's report was fresh, and overBound() then falls back to own streams for each server without one: with two streams of its own over twenty servers a router's bound is one. Change: what is dear to read leaves its home for a fresh report that the home is over the bound; the bound on own streams stays for what is cheap to read.

Test: whatIsDearToReadStaysAtAHomeOfWhichNothingIsReported, fails without.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -533,7 +533,7 @@
                 continue;
             }
             boolean cold = warmth(n, now) < 1;
-            if ((cold || cheapToRead(p) || pool.room > 0) && overBound(p, n, now)) {
+            if ((cold || cheapToRead(p) || reported(pool, n, now)) && overBound(p, n, now)) {
                 overBound = overBound == null && !cold ? n : overBound;
                 continue;
             }
@@ -560,12 +560,16 @@
                 && !(cheapToRead(p) && overBound(p, n, now));
     }
 
+    private static boolean reported(Pool pool, Node n, long now) {
+        return pool.room > 0 && n.othersUntil > now;
+    }
+
     /**
      * One more stream would lift the replica over its bound; a cold one's is scaled to its warmth. Where
      * reports tell them, all gateways' streams count: with many gateways an own count is one or none.
      */
     private boolean overBound(Pending p, Node n, long now) {
-        if (n.othersUntil > now && p.pool.room > 0) {
+        if (reported(p.pool, n, now)) {
             return n.load + n.others + 1 > Math.max(1, Math.ceil(REPORTED_FACTOR * (p.pool.held + 1)
                     * weight(n) * speed(n) * warmth(n, now) / p.pool.room));
         }
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -338,6 +338,29 @@
         assertEquals(home, f.lastReplica());
     }
 
+    /**
+     * With many gateways an own count is one or none, and a bound on it says nothing: what is dear to read
+     * anew stays at its home unless a report says that the home is full.
+     */
+    @Test
+    void whatIsDearToReadStaysAtAHomeOfWhichNothingIsReported() {
+        Fixture f = new Fixture(new Fixture.Setup().build()).list(8);
+        f.serve(f.arrive(1, 7), 0);
+        long home = f.lastReplica();
+        long key = 100;
+        long id = f.arrive(key, key);
+        while (f.lastReplica() == home) {
+            f.serve(id, 0);
+            id = f.arrive(++key, key);
+        }
+        report(f, id, 2);
+        f.pass(SECOND * 6 / 10);
+        for (long session = 2; session < 6; session++) {
+            f.router.firstToken(f.now, f.arrive(session, 7), 0);
+            assertEquals(home, f.lastReplica(), "session " + session);
+        }
+    }
+
     /** Each gateway and each class finds a replica that errs to everybody anew, at its clients' cost. */
     @Test
     void aReplicaThatReportsMostlyErrorsIsLeftAloneByAllClasses() {
