A jammed own zone is left only for more than reading there and back takes

At fault: homeJams() compared first tokens' delays and left out what the move costs. Change: the own zone is left where the difference is more than reading the prompt twice takes, half of the aim at most; nothing while no read was seen. Prompts that are cheap to read leave as before. Test: aZoneThatJamsIsNotLeftForLessThanAReadTakes, fails without; the older one stands as it was.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -24,8 +24,7 @@
  * <p>A request's path: {@link #requestArrived} takes it; {@link #dispatch} asks {@link #pick} for a replica
  * and sends an attempt, or holds the request; {@link #attemptEnded} settles it, or sends it to the next ring
  * replica where its class and the clock allow; {@link #giveFinalAnswer} ends what nothing else ended.
- *
- * <p>The ordinary path is {@link #pick}: consistent hashing with bounded loads.
+ * The ordinary path is {@link #pick}: consistent hashing with bounded loads.
  */
 public final class BoundedLoadRouter implements Routing.Events {
     /** A replica may carry this many hundredths of the average load: the figure Vimeo reports running. */
@@ -50,9 +49,7 @@
     private static final int PLANS_PER_AIM = 2;
     /** A key is spread over this many times the replicas that its share of the traffic would fill. */
     private static final double SPREAD = 4;
-    /**
-     * A key spread over more has a place on the ring for each so many: a walk must not grow with the fleet.
-     */
+    /** A key spread over more has a place on the ring for each so many: walks don't grow with the fleet. */
     private static final int MOST_WALKED = 16;
     /** Deviations of a count taken off a tally before it is believed: a key seen once is not popular. */
     private static final double NOISE = 1;
@@ -81,6 +78,8 @@
     private static final double BUDGET_KEPT = 0.5;
     /** A prompt is cheap to read anew in less than this part of the aim: then a spill costs little. */
     private static final double CHEAP_READ = 0.1;
+    /** To be spared reads is worth waiting for, up to this part of the aim: later is late for most. */
+    private static final double MOST_REREAD = 0.5;
     /** The fastest reading seen is forgotten at this pace, in case the fleet has changed. */
     private static final double READ_RATE_FADE = 0.999;
     /** Weight of one first token's delay, in parts of its aim: about the last ten of its side count. */
@@ -520,7 +519,7 @@
         int seen = 0;
         int found = 0;
         Pool pool = p.pool;
-        boolean home = pool.ownZoneFirst && !homeJams();
+        boolean home = pool.ownZoneFirst && !homeJams(p);
         int reach = home ? pool.homeReady : pool.ready;
         for (int i = pool.start(place); seen < reach && found < wanted; i = pool.next(i)) {
             Node n = pool.owners[i];
@@ -551,8 +550,8 @@
     }
 
     /**
-     * Against a history read anew: a session that was spilled goes on where it was spilled to, on the terms
-     * on which the ring would pick that replica. One that started since holds no history, and bears little.
+     * Against a history read anew: a session goes on where it was spilled to, on the terms on which the ring
+     * would pick that replica. One that started since holds no history, and bears little.
      */
     private boolean staysAt(Pending p, Node n, long now) {
         return n != null && nodes.get(n.replica.id()) == n && n.replica.lifecycle() == Lifecycle.READY
@@ -663,15 +662,9 @@
         return readTime(p) * averageWorth < CHEAP_READ * p.type.aim() * p.worth;
     }
 
-    /**
-     * Against refusals while others stand free: a replica counts as slow for a while after its jam is over.
-     * Where only few are, a spill costs a read and no more; where many are, it would spread the jam.
-     */
+    /** Where only few are slow, a spill costs a read and no more; where many are, it would spread the jam. */
     private boolean roomy(Pending p, long now) {
-        int slow = 0;
-        for (Node n : p.pool.members) {
-            slow += n.overdue > 0 || n.slowUntil > now ? 1 : 0;
-        }
+        long slow = p.pool.members.stream().filter(n -> n.overdue > 0 || n.slowUntil > now).count();
         return slow <= p.pool.ready * MOST_SLOW;
     }
 
@@ -701,14 +694,19 @@
         return 1 / kindTime.getOrDefault(n.replica.kind(), 1.0);
     }
 
-    /** Against a zone that jams while others stand free: how long first tokens take there and elsewhere. */
+    /** How long first tokens take at home and elsewhere: a jammed zone is left at the price of a read. */
     private void learnDelay(Pending p, Attempt a, long now) {
         int where = a.node.replica.zone() == settings.zone() ? 0 : 1;
         delay[where] += ((double) (now - a.sentAt) / aim(p) - delay[where]) * DELAY_WEIGHT;
     }
 
-    private boolean homeJams() {
-        return delay[0] * BEARABLE_PART > 1 && delay[0] > delay[1];
+    /** What reading a prompt there and again at its return takes of its aim; nothing while unknown. */
+    private double rereading(Pending p) {
+        return readRate > 0 ? Math.min(MOST_REREAD, 2 * readTime(p) / aim(p)) : 0;
+    }
+
+    private boolean homeJams(Pending p) {
+        return delay[0] * BEARABLE_PART > 1 && delay[0] > delay[1] + rereading(p);
     }
 
     /** The fastest reading of prompts seen of late, in tokens a microsecond. */
@@ -741,19 +739,14 @@
     }
 
     private boolean mayTake(Pending p, Node n, long now) {
-        for (Attempt a : p.attempts) {
-            if (a.node.replica.id() == n.replica.id()) {
-                return false;
-            }
-        }
-        return !n.keptOff(now) && n.restUntil[p.request.requestClass()] <= now && mayRepeatAt(p, n, now)
+        return p.attempts.stream().noneMatch(a -> a.node.replica.id() == n.replica.id()) && !n.keptOff(now)
+                && n.restUntil[p.request.requestClass()] <= now && mayRepeatAt(p, n, now)
                 && warmEnough(p.key, n, now) && inColdBudget(n, now);
     }
 
     /**
-     * Slow start, against a cold replica pushed over: it is empty too, so each key costs it a full read. Of
-     * the keys that the ring gives it, the part that its present share of capacity stands for goes there, the
-     * same keys at every gateway.
+     * Slow start, against a cold replica pushed over: it is empty too, so a key costs it a full read. Of its
+     * keys the part that its present share of capacity stands for goes there, the same at every gateway.
      */
     private boolean warmEnough(long key, Node n, long now) {
         double share = warmth(n, now);
@@ -921,9 +914,8 @@
     }
 
     /**
-     * Against answers that are lost while the replica serves: it reads prompts in the order in which they
-     * came, so an attempt that a later one's first token overtakes waits in no jam. One batch's first tokens
-     * come in any order, hence the look a moment later.
+     * Against answers lost while the replica serves: it reads prompts as they came, so what a later one's
+     * first token overtakes waits in no jam. One batch's come in any order: hence the wait.
      */
     private void overtake(Attempt by, long now) {
         ArrayDeque<Attempt> waiting = by.node.waiting;
@@ -1045,14 +1037,13 @@
     }
 
     /**
-     * The budget of attempts beyond requests' first, exact in every window: an arrival at the very edge no
-     * longer counts, an attempt there still does. What is worth less than the average leaves a part of it.
+     * The budget of further attempts, exact in every window: an arrival at the very edge no longer counts, an
+     * attempt there still does. What is worth less than the average leaves a part of it.
      */
     private boolean inBudget(Pending p, long now) {
         forgetOld(now);
-        double all = budget.free() + budget.ratio() * taken.size();
-        double mine = p.worth < averageWorth ? all * BUDGET_KEPT : all;
-        return further.size() + 1 <= mine + ROUNDING;
+        double mine = p.worth < averageWorth ? BUDGET_KEPT : 1;
+        return further.size() + 1 <= (budget.free() + budget.ratio() * taken.size()) * mine + ROUNDING;
     }
 
     /**
@@ -1082,10 +1073,9 @@
     }
 
     /**
-     * A replica's trouble with a class, such as a limit that answers full though there is room, or quick
-     * errors, which keep its count low and draw its neighbours' spill, keeps that class away for a while,
-     * doubled each time; the others stay. Could harm where a passing error empties a small pool, hence the
-     * ceiling that it shares with ejections.
+     * A replica's trouble with a class (a limit that answers full though there is room, quick errors, which
+     * keep its count low and draw its neighbours' spill) keeps that class away, each time twice as long. A
+     * passing error could empty a small pool, hence the ceiling that it shares with ejections.
      */
     private void strike(Pool pool, int c, Node n, long now) {
         if (n.restUntil[c] <= now && away(pool, c, now) + 1 <= MOST_EJECTED * pool.ready) {
@@ -1095,12 +1085,9 @@
     }
 
     /** How many of a pool's replicas a class is kept away from. */
-    private static int away(Pool pool, int requestClass, long now) {
-        int count = 0;
-        for (Node m : pool.members) {
-            count += m.ejectedUntil > now || m.restUntil[requestClass] > now ? 1 : 0;
-        }
-        return count;
+    private static long away(Pool pool, int requestClass, long now) {
+        return pool.members.stream().filter(m -> m.ejectedUntil > now || m.restUntil[requestClass] > now)
+                .count();
     }
 
     private void forgetOld(long now) {
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -138,6 +138,41 @@
         assertTrue(last, "did not come back to its own zone");
     }
 
+    /** The other zone has to read the prompt: it answers sooner, but not by as much as that takes. */
+    @Test
+    void aZoneThatJamsIsNotLeftForLessThanAReadTakes() {
+        for (boolean dear : new boolean[] {false, true}) {
+            Fixture f = ownZone();
+            long id = f.arrive(500, 0);
+            f.pass(dear ? SECOND * 8 / 10 : SECOND / 100);
+            f.serve(id, 0);
+            f.pass(2 * SECOND);
+            assertEquals(!dear, leavesItsZone(f, SECOND / 2, SECOND / 4), "dear to read: " + dear);
+        }
+    }
+
+    private static Fixture ownZone() {
+        Fixture.Setup setup = new Fixture.Setup();
+        setup.instances = 6;
+        return fixture(setup, 40);
+    }
+
+    /** Whether any of sixty sessions goes elsewhere, where first tokens take so long at home and there. */
+    private static boolean leavesItsZone(Fixture f, long atHome, long elsewhere) {
+        boolean left = false;
+        for (long key = 1; key <= 60; key++) {
+            long id = f.arrive(key, 0);
+            boolean home = f.lastReplica() % 2 == 0;
+            left |= !home;
+            f.pass(home ? atHome : elsewhere);
+            f.router.firstToken(f.now, id, 0);
+            f.router.attemptEnded(f.now, id, 0, Outcome.OK, 0, true, 1000, null);
+            // no replica counts as slow any more
+            f.pass(SECOND);
+        }
+        return left;
+    }
+
     // ---- no lost request
 
     @Test
