Quicker machine kinds get more keys, told by first tokens after some tens of answers

At fault: learnSpeed() moves 1 % an answer, of whole answers only, which come late and of those that got through; pick() uses it only for keys spread over several servers (4 % of keys here). Change: first tokens and time-outs tell too, a kind's first answers weigh more, and of its keys on the ring a kind gets the part that its speed is of the fastest's, the same keys at every router that knows the same.

Test: fewAnswersTellWhichKindIsQuickerAndItGetsMoreKeys, fails without either half.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -88,6 +88,8 @@
     private static final double ABOVE = 1.05;
     /** Weight of one request in the running average of worth: about the last hundred count. */
     private static final double WORTH_WEIGHT = 0.01;
+    /** Machine kinds count as equal at first, with the weight of so many answers' times. */
+    private static final int EQUAL_KINDS = 10;
     /** An attempt is overdue when its first token has not come within this part of the aim. */
     private static final int OVERDUE_PART = 8;
     /** Requests spill from a slow replica, whatever they are worth, while at most this part is slow. */
@@ -149,7 +151,10 @@
     double unitWeight;
     private long latest = Long.MIN_VALUE;
     final double[] classTime;
+    private final double[] firstTime;
     final Map<Integer, Double> kindTime = new HashMap<>();
+    private final Map<Integer, Integer> kindSeen = new HashMap<>();
+    private double fastest = 1;
     private final Sessions sessions = new Sessions();
     final double[] tenantTally;
 
@@ -312,6 +317,7 @@
         this.patience = longest;
         this.planEvery = aim / PLANS_PER_AIM;
         this.classTime = new double[settings.classes().size()];
+        this.firstTime = new double[settings.classes().size()];
         this.tenantTally = new double[settings.tenants().size()];
         Routing.AttemptBudget stated = settings.contract().attempts();
         this.budget = stated.window() > 0 ? stated
@@ -513,6 +519,7 @@
             wanted = MOST_WALKED;
         }
         Node overBound = null;
+        Node slower = null;
         Node best = null;
         double bestScore = 0;
         visit++;
@@ -536,6 +543,11 @@
                 overBound = overBound == null && !cold ? n : overBound;
                 continue;
             }
+            // of the keys that the ring gives it, a kind gets the part that its speed is of the fastest's
+            if (wanted == 1 && speed(n) < fastest * Mixing.unit(p.key ^ Mixing.mix(~n.replica.id()))) {
+                slower = slower == null ? n : slower;
+                continue;
+            }
             found++;
             if (free && slow(p, n, now)) {
                 continue;
@@ -546,7 +558,7 @@
                 bestScore = score;
             }
         }
-        return best != null ? best : overBound;
+        return best != null ? best : slower != null ? slower : overBound;
     }
 
     /**
@@ -589,6 +601,7 @@
         double decay = Math.exp(-(double) elapsed / (POPULARITY_MEMORY * patience));
         plannedAt = now;
         planStale = false;
+        fastest = kindTime.values().stream().mapToDouble(t -> 1 / t).max().orElse(1);
         sessions.forget(now - POPULARITY_MEMORY * patience);
         unnamed *= decay;
         double total = unnamed;
@@ -677,17 +690,18 @@
     }
 
     /**
-     * How quick a machine kind is, where no list tells: its answers' times against their class's mean.
-     * Within a key's spread, quicker kinds get more sessions; as they fill up, their times even out.
+     * How quick a machine kind is, where no list tells: its first tokens' and whole answers' times against
+     * their class's mean. Quicker kinds get more keys, and within a key's spread more sessions.
      */
-    private void learnSpeed(Pending p, Attempt a, long now) {
+    private void learnSpeed(double[] mean, Pending p, Attempt a, long now) {
         int c = p.request.requestClass();
         double took = Math.max(1, now - a.sentAt);
-        classTime[c] += classTime[c] == 0 ? took : (took - classTime[c]) * WORTH_WEIGHT;
-        double ratio = Math.min(MOST_WEIGHT, took / classTime[c]);
+        mean[c] += mean[c] == 0 ? took : (took - mean[c]) * WORTH_WEIGHT;
+        double ratio = Math.min(MOST_WEIGHT, took / mean[c]);
         int kind = a.node.replica.kind();
         double known = kindTime.getOrDefault(kind, 1.0);
-        kindTime.put(kind, known + (ratio - known) * WORTH_WEIGHT);
+        double weight = Math.max(WORTH_WEIGHT, 1.0 / (EQUAL_KINDS + kindSeen.merge(kind, 1, Integer::sum)));
+        kindTime.put(kind, known + (ratio - known) * weight);
     }
 
     private double speed(Node n) {
@@ -902,6 +916,7 @@
         Attempt a = p.attempts.get(attempt);
         a.firstTokenAfter = now - a.sentAt;
         learnDelay(p, a, now);
+        learnSpeed(firstTime, p, a, now);
         p.begun = true;
         firstTokenTally++;
         a.node.spokeAt = now;
@@ -1000,6 +1015,7 @@
         notOverdue(a, now);
         judge(a.node, silence ? Outcome.RESET : outcome, now);
         if (outcome == Outcome.TIMEOUT) {
+            learnSpeed(firstTime, p, a, now);
             learnDelay(p, a, now);
         }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
@@ -1015,7 +1031,7 @@
         }
         if (outcome == Outcome.OK) {
             learnReadRate(p, a, keptTokens);
-            learnSpeed(p, a, now);
+            learnSpeed(classTime, p, a, now);
         }
         if (requestOver && !p.over) {
             p.over = true;
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -605,6 +605,23 @@
         assertTrue(byKind.get(0L) > byKind.get(1L) * 3 / 2, "sessions by kind " + byKind);
     }
 
+    /** A gateway among many sees few answers: what a kind can do must show after some tens of them. */
+    @Test
+    void fewAnswersTellWhichKindIsQuickerAndItGetsMoreKeys() {
+        Fixture f = fixture(12);
+        Map<Long, Integer> byKind = new HashMap<>();
+        for (int i = 0; i < 160; i++) {
+            long id = f.arrive(i + 1, 0);
+            long kind = f.lastReplica() % 3;
+            byKind.merge(kind, i < 60 ? 0 : 1, Integer::sum);
+            f.pass(kind == 0 ? SECOND / 50 : SECOND / 10);
+            f.serve(id, 0);
+        }
+        assertTrue(byKind.get(0L) > 2 * byKind.get(1L), "keys by kind " + byKind);
+        assertTrue(byKind.get(0L) > 2 * byKind.get(2L), "keys by kind " + byKind);
+        assertTrue(byKind.get(1L) > 3, "a slower kind still gets its part: " + byKind);
+    }
+
     // ---- lost answers, and trouble with one class
 
     /** A served request, one whose answer is lost, and a later one at the same replica that is served. */
