--- a/src/test/java/umberspread/Fixture.java
+++ b/src/test/java/umberspread/Fixture.java
@@ -56,6 +56,9 @@
         List<Routing.Tenant> tenants = List.of();
         double secondWorth = 1;
         double lateWorth = 0.5;
+        long coldFor = 20 * SECOND;
+        double coldFrom = 0.2;
+        double fallMultiple = 3;
         Routing.Placement secondPlacement = Routing.Placement.ANYWHERE;
         Routing.AttemptBudget budget = Routing.AttemptBudget.NONE;
 
@@ -69,7 +72,8 @@
                     List.of(type("chat", worth, Routing.Placement.ANYWHERE),
                             type("edit", secondWorth, secondPlacement)), tenants, 0.1, ask,
                     new Routing.Limits(attempts, duplicates, cancelling, false, 250_000, retryAfterMax),
-                    new Routing.Contract(SECOND, 20 * SECOND, 0.2, 3, 2 * SECOND, 10 * SECOND,
+                    new Routing.Contract(SECOND, coldFor, coldFrom, fallMultiple, 2 * SECOND,
+                            10 * SECOND,
                             budget),
                     new Routing.Prices(0, 0, 0, 0, 0));
         }
