Newcomers close idle clients only, and a small real limit of descriptors is tried

Seen, BoundsTest.closesNoneWhoseRequestIsComing on the code before: a connection with half of its request in was closed (408) for a newcomer while another had said nothing at all, since both counted as awaited ("expected CloseClient 2, was 1"). Checked and kept: under `ulimit -n 160` with 320 idle clients and discovery away, the list is asked for within 10 s of its return and a new client answered (ServeTest, on a process; with the clients' bound taken away it fails: "Accept timed out"). At fault: Clients.makeRoom closed the oldest of `awaited`, whatever had come of its request.

--- a/src/main/java/yewdock/desk/Clients.java
+++ b/src/main/java/yewdock/desk/Clients.java
@@ -28,8 +28,10 @@
     private final Counters counters;
     private final Consumer<Effect> effects;
     private final Set<Long> all = new HashSet<>();
-    /** Those whose request has yet to come in whole, with the time from which it is counted: oldest first. */
+    /** Those of which nothing has come yet, with the time at which they were made: oldest first. */
     private final Map<Long, Long> awaited = new LinkedHashMap<>();
+    /** Those of whose request a part has come, with the time from which it is counted: oldest first. */
+    private final Map<Long, Long> coming = new LinkedHashMap<>();
     /** Those that have had their answer and asked nothing since, with that time: longest quiet first. */
     private final Map<Long, Long> quiet = new LinkedHashMap<>();
     private boolean hurried;
@@ -44,29 +46,35 @@
     }
 
     void came(long client) {
-        all.add(client);
-        awaited.put(client, now.getAsLong());
-        if (all.size() > most) {
+        if (all.size() >= most) {
             makeRoom();
         }
+        all.add(client);
+        awaited.put(client, now.getAsLong());
         sweep();
     }
 
     /** The first byte of a request has come; for a connection's first, time has run since it was made. */
     void began(long client) {
-        if (quiet.remove(client) != null) {
-            awaited.put(client, now.getAsLong());
+        Long since = awaited.remove(client);
+        if (since == null && quiet.remove(client) != null) {
+            since = now.getAsLong();
+        }
+        if (since != null) {
+            coming.put(client, since);
             sweep();
         }
     }
 
     void asked(long client) {
         awaited.remove(client);
+        coming.remove(client);
         quiet.remove(client);
     }
 
     void quiet(long client) {
         awaited.remove(client);
+        coming.remove(client);
         if (all.contains(client)) {
             quiet.put(client, now.getAsLong());
             sweep();
@@ -75,8 +83,7 @@
 
     void left(long client) {
         all.remove(client);
-        awaited.remove(client);
-        quiet.remove(client);
+        asked(client);
     }
 
     /** Quiet connections are closed soon, or kept as ever: their clients are to come to another process. */
@@ -92,7 +99,8 @@
 
     /**
      * Guards the descriptors: one that is quiet between requests goes first, since its client asks again on a
-     * new connection if the close crosses its next request; then the one that has been silent longest.
+     * new connection if the close crosses its next request; then the one that has been silent longest. One
+     * with a request, or with a part of one, is not closed: no more are accepted until there is room.
      */
     private void makeRoom() {
         Map<Long, Long> from = quiet.isEmpty() ? awaited : quiet;
@@ -105,7 +113,8 @@
     /** Closes what has been waited for long enough, and sets the timer for the next. */
     private void sweep() {
         long keep = hurried || all.size() > most / ROOMY_PART ? KEEP_SHORT : KEEP;
-        long next = Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
+        long next = Math.min(Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
+                closeSince(coming, PATIENCE, "clients.closed_waiting")),
                 closeSince(quiet, keep, "clients.closed_quiet"));
         if (next < sweepAt) {
             sweepAt = next;
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -87,6 +87,24 @@
         assertEquals(List.of(), small.reduce(new Event.ClientCame(7), 15));
     }
 
+    /** A request that is on its way in is not cut off for a newcomer, whoever has been silent longer. */
+    @Test
+    void closesNoneWhoseRequestIsComing() {
+        Desk small = new Desk(TERMS, new Bounds(3, 3, 3, MEGABYTE), counters, InOrderModule::new);
+        small.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        for (long client = 1; client <= 3; client++) {
+            small.reduce(new Event.ClientCame(client), client);
+        }
+        small.reduce(new Event.ClientBegan(1), 4);
+        assertEquals(List.of(new Effect.CloseClient(2)), small.reduce(new Event.ClientCame(4), 5));
+        small.reduce(new Event.ClientLeft(2), 6);
+        small.reduce(new Event.ClientBegan(3), 7);
+        small.reduce(new Event.ClientBegan(4), 8);
+        assertEquals(List.of(), small.reduce(new Event.ClientCame(5), 9));
+        // each still has its time to come in whole, counted from when its connection was made
+        assertTrue(small.reduce(new Event.Tick(), 2_500_001).contains(new Effect.CloseClient(1)));
+    }
+
     /** All descriptors together stay under the limit, at each limit that a configuration may state. */
     @Test
     void fitsTheDescriptors() {
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -12,6 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -20,15 +22,18 @@
 /** The program itself, in a process of its own, on sockets of this machine. */
 @Timeout(60)
 class ServeTest {
+    private static final int SMALL_LIMIT = 160;
     private static final String BODY = "{\"model\":\"chat\"}";
 
     @TempDir
     private Path folder;
 
-    private Process start(String config) throws IOException {
+    private Process start(String config, String... before) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-cp", System.getProperty("java.class.path"), "yewdock.Main", "serve");
+        List<String> command = new ArrayList<>(List.of(before));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "yewdock.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("PROXY_CONFIG", file.toString());
         return builder.redirectErrorStream(true).start();
     }
@@ -88,6 +93,53 @@
         }
     }
 
+    /**
+     * Idle clients fill what there is of descriptors while discovery is down: the list is asked for all the
+     * same once it is back, and a client that asks is answered.
+     */
+    @Test
+    void idleClientsDoNotKeepItFromTheListUnderASmallRealLimit() throws Exception {
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        int away;
+        try (ServerSocket list = new ServerSocket(0, 50, local)) {
+            away = list.getLocalPort();
+        }
+        String config = Files.readString(Exchange.FOLDER.resolve("config.json"))
+                .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:8500", "127.0.0.1:" + away)
+                .replaceFirst("\\{", "{\"limits\":{\"sockets\":" + SMALL_LIMIT + ",\"memory_mb\":160},");
+        Process router = start(config, "sh", "-c", "ulimit -n " + SMALL_LIMIT + "; exec \"$@\"", "sh");
+        List<Socket> idle = new ArrayList<>();
+        try {
+            BufferedReader log = router.inputReader();
+            String line = log.readLine();
+            while (!line.contains("listens on")) {
+                line = log.readLine();
+            }
+            int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+            for (int i = 0; i < 2 * SMALL_LIMIT; i++) {
+                idle.add(new Socket(local, port));
+            }
+            try (ServerSocket list = new ServerSocket(away, 50, local)) {
+                list.setSoTimeout(10_000);
+                try (Socket call = list.accept()) {
+                    assertTrue(new BufferedReader(new InputStreamReader(call.getInputStream(),
+                            StandardCharsets.US_ASCII)).readLine().startsWith("GET /v1/endpoints"));
+                    Socket asks = new Socket(local, port);
+                    idle.add(asks);
+                    asks.getOutputStream().write("GET /ready HTTP/1.1\r\n\r\n".getBytes(
+                            StandardCharsets.US_ASCII));
+                    assertEquals("HTTP/1.1 200 OK", new BufferedReader(new InputStreamReader(
+                            asks.getInputStream(), StandardCharsets.US_ASCII)).readLine());
+                }
+            }
+        } finally {
+            for (Socket client : idle) {
+                client.close();
+            }
+            router.destroyForcibly().waitFor();
+        }
+    }
+
     /** SIGHUP must not end it: a bad file changes nothing, a good one moves the watch. */
     @Test
     void takesNewConfigurationsAtSighup() throws Exception {
