The own zone is left for more than four reads: those who wait behind a read pay for it too

A server reads prompts first come, first served, so a read there and one at the return hold up those behind by as much again: four, at most 0.8 of the aim.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -79,7 +79,7 @@
     /** A prompt is cheap to read anew in less than this part of the aim: then a spill costs little. */
     private static final double CHEAP_READ = 0.1;
     /** To be spared reads is worth waiting for, up to this part of the aim: later is late for most. */
-    private static final double MOST_REREAD = 0.5;
+    private static final double MOST_REREAD = 0.8;
     /** The fastest reading seen is forgotten at this pace, in case the fleet has changed. */
     private static final double READ_RATE_FADE = 0.999;
     /** Weight of one first token's delay, in parts of its aim: about the last ten of its side count. */
@@ -714,9 +714,9 @@
         delay[where] += ((double) (now - a.sentAt) / aim(p) - delay[where]) * DELAY_WEIGHT;
     }
 
-    /** What reading a prompt there and again at its return takes of its aim; nothing while unknown. */
+    /** What reading there and at its return takes of its aim, and of those who wait behind; 0 if unknown. */
     private double rereading(Pending p) {
-        return readRate > 0 ? Math.min(MOST_REREAD, 2 * readTime(p) / aim(p)) : 0;
+        return readRate > 0 ? Math.min(MOST_REREAD, 4 * readTime(p) / aim(p)) : 0;
     }
 
     private boolean homeJams(Pending p) {
