--- a/src/test/java/yewdock/sockets/GoneClientTest.java
+++ b/src/test/java/yewdock/sockets/GoneClientTest.java
@@ -5,7 +5,6 @@
 
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -36,8 +35,7 @@
     private final Counters counters = new Counters();
     private final Sockets sockets = new Sockets(CLIENTS);
     private ServerSocket silentServer;
-    private InetSocketAddress at;
-    private Thread serves;
+    private Listening listening;
 
     /** A router whose servers take connections and say nothing. */
     @BeforeEach
@@ -49,25 +47,12 @@
         Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
                 actions -> new GenerationRouter(config.settings(), 1, actions));
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), line -> { });
-        CompletableFuture<String> address = new CompletableFuture<>();
-        serves = new Thread(() -> sockets.serveLater(() -> {
-            front.start();
-            try {
-                address.complete(sockets.listenBeside("127.0.0.1:0"));
-            } catch (java.io.IOException e) {
-                address.completeExceptionally(e);
-            }
-        }, front, desk));
-        serves.setDaemon(true);
-        serves.start();
-        String[] parts = address.get(10, TimeUnit.SECONDS).split(":");
-        at = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+        listening = Listening.start(sockets, front, desk);
     }
 
     @AfterEach
     void end() throws Exception {
-        sockets.post(sockets::stop);
-        serves.join(10_000);
+        listening.stop();
         silentServer.close();
     }
 
@@ -75,7 +60,7 @@
         Socket client = new Socket();
         client.setSoTimeout(3_000);
         client.setTcpNoDelay(true);
-        client.connect(at, 10_000);
+        client.connect(listening.at(), 10_000);
         client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\n"
                 + "X-Correlation-Id: " + id + "\r\nX-Service-Class: chat\r\nX-Account: lalitpur-metro\r\n"
                 + "X-Session-Key: 7f3a\r\nX-Time-Left: 8.000\r\n"
--- a/src/test/java/yewdock/sockets/LetGoTest.java
+++ b/src/test/java/yewdock/sockets/LetGoTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -34,23 +33,12 @@
                 actions -> new GenerationRouter(config.settings(), 1, actions));
         Sockets sockets = new Sockets(0);
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), line -> { });
-        CompletableFuture<String> address = new CompletableFuture<>();
-        Thread serves = new Thread(() -> sockets.serveLater(() -> {
-            front.start();
-            try {
-                address.complete(sockets.listenBeside("127.0.0.1:0"));
-            } catch (java.io.IOException e) {
-                address.completeExceptionally(e);
-            }
-        }, front, desk));
-        serves.setDaemon(true);
-        serves.start();
-        String[] at = address.get(10, TimeUnit.SECONDS).split(":");
+        Listening listening = Listening.start(sockets, front, desk);
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             Socket client = new Socket();
             client.setSoTimeout(10_000);
-            client.connect(new InetSocketAddress(at[0], Integer.parseInt(at[1])), 10_000);
+            client.connect(listening.at(), 10_000);
             clients.add(client);
         }
         CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -68,7 +56,6 @@
                 assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
             }
         }
-        sockets.post(sockets::stop);
-        serves.join(10_000);
+        listening.stop();
     }
 }
