A cold server's turn begins with the list that tells of its start, at every router

ColdFleetTest: 100 routers give a cold server 9 requests of about 126 in nine warm-ups, 30 give 25, one gives 87. Checked and ruled out: the hashed part of keys (it alone would let 126 through), the budget's sum (far below the formula).

At fault: inColdBudget() drew the wait for a router's first send when its first request for that server came. A router among 100 has such a request once in minutes, so its first was turned away and there was no second before the server was warm. Test: ColdFleetTest wants a third of the server's share to reach it at each size; fails without.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -396,11 +396,13 @@
             n = new Node(r, pointsFor(r), settings.classes().size());
             nodes.put(r.id(), n);
             n.pools = poolsOf(r);
+            inColdBudget(n, latest);
             return ready;
         }
         boolean was = n.replica.lifecycle() == Lifecycle.READY;
         boolean moved = n.replica.zone() != r.zone() || n.replica.kind() != r.kind();
         n.replica = r;
+        inColdBudget(n, latest);
         if (moved) {
             n.pools = poolsOf(r);
         }
--- a/src/test/java/umberspread/ColdFleetTest.java
+++ b/src/test/java/umberspread/ColdFleetTest.java
@@ -26,6 +26,8 @@
     private static final long BEFORE = 12 * SECOND;
     private static final long STEP = SECOND / 100;
     private static final long SEEDS = 3;
+    /** A third of what its share of the traffic, scaled to its warmth, comes to over all plays. */
+    private static final int LEAST_SENT = 42;
 
     /** What becomes of most other replicas while this one warms up. */
     private enum Trouble { NONE, HANGS, FULL }
@@ -131,7 +133,7 @@
                             + over(sent) + " over");
                 }
             }
-            assertTrue(sentInAll > 0, gateways + " gateways leave it alone");
+            assertTrue(sentInAll > LEAST_SENT, gateways + " gateways hardly use it: " + sentInAll);
         }
     }
 
