--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -101,7 +101,7 @@
     /** A tenant's share is metered over this many of the shortest aim. */
     private static final double METER_AIMS = 5;
     /** A cold replica is empty too: it gets this part of what would fell it, were the rest at capacity. */
-    private static final double COLD_MARGIN = 0.5;
+    private static final double COLD_MARGIN = 0.4;
     /** What others hold at a replica is believed for this part of a patience after its report. */
     private static final int REPORT_PART = 3;
     /** So many times its fair part of what all gateways hold is too much: reports tell it late. */
