--- a/src/test/java/yewdock/AskedListTest.java
+++ b/src/test/java/yewdock/AskedListTest.java
@@ -21,7 +21,7 @@
 
 /**
  * A list that is asked, calls that fail and watches that fall silent: whatever happens to a call, a change
- * counts as told 6 s after the service had it and could be reached, and a second later a drain has to be kept.
+ * counts as told 6 s after the service had it and could be reached, a second later a drain has to be kept.
  */
 class AskedListTest {
     private static final long SECOND = 1_000_000;
