Half-sent requests are closed by their own time again, kept in one order with silent ones

Seen on reading: coming kept older times behind younger ones and closeSince stops at the first not due, so a half-sent request could be closed 2.5 s late. They are in one order again and marked.

--- a/src/main/java/yewdock/desk/Clients.java
+++ b/src/main/java/yewdock/desk/Clients.java
@@ -28,10 +28,10 @@
     private final Counters counters;
     private final Consumer<Effect> effects;
     private final Set<Long> all = new HashSet<>();
-    /** Those of which nothing has come yet, with the time at which they were made: oldest first. */
+    /** Those whose request has yet to come in whole, with the time from which it is counted: oldest first. */
     private final Map<Long, Long> awaited = new LinkedHashMap<>();
-    /** Those of whose request a part has come, with the time from which it is counted: oldest first. */
-    private final Map<Long, Long> coming = new LinkedHashMap<>();
+    /** Those of them of whose request a part has come. */
+    private final Set<Long> coming = new HashSet<>();
     /** Those that have had their answer and asked nothing since, with that time: longest quiet first. */
     private final Map<Long, Long> quiet = new LinkedHashMap<>();
     private boolean hurried;
@@ -56,14 +56,13 @@
 
     /** The first byte of a request has come; for a connection's first, time has run since it was made. */
     void began(long client) {
-        Long since = awaited.remove(client);
-        if (since == null && quiet.remove(client) != null) {
-            since = now.getAsLong();
-        }
-        if (since != null) {
-            coming.put(client, since);
+        if (quiet.remove(client) != null) {
+            awaited.put(client, now.getAsLong());
             sweep();
         }
+        if (awaited.containsKey(client)) {
+            coming.add(client);
+        }
     }
 
     void asked(long client) {
@@ -103,18 +102,22 @@
      * with a request, or with a part of one, is not closed: no more are accepted until there is room.
      */
     private void makeRoom() {
-        Map<Long, Long> from = quiet.isEmpty() ? awaited : quiet;
-        if (!from.isEmpty()) {
-            counters.add("clients.closed_for_room");
-            close(from.keySet().iterator());
+        Iterator<Long> from = (quiet.isEmpty() ? awaited : quiet).keySet().iterator();
+        while (from.hasNext()) {
+            long client = from.next();
+            if (!coming.contains(client)) {
+                counters.add("clients.closed_for_room");
+                from.remove();
+                effects.accept(new Effect.CloseClient(client));
+                return;
+            }
         }
     }
 
     /** Closes what has been waited for long enough, and sets the timer for the next. */
     private void sweep() {
         long keep = hurried || all.size() > most / ROOMY_PART ? KEEP_SHORT : KEEP;
-        long next = Math.min(Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
-                closeSince(coming, PATIENCE, "clients.closed_waiting")),
+        long next = Math.min(closeSince(awaited, PATIENCE, "clients.closed_waiting"),
                 closeSince(quiet, keep, "clients.closed_quiet"));
         if (next < sweepAt) {
             sweepAt = next;
@@ -136,15 +139,10 @@
                 return entry.getValue() + patience;
             }
             counters.add(counter);
+            coming.remove(entry.getKey());
             entries.remove();
             effects.accept(new Effect.CloseClient(entry.getKey()));
         }
         return Long.MAX_VALUE;
     }
-
-    private void close(Iterator<Long> first) {
-        long client = first.next();
-        first.remove();
-        effects.accept(new Effect.CloseClient(client));
-    }
 }
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -105,6 +105,19 @@
         assertTrue(small.reduce(new Event.Tick(), 2_500_001).contains(new Effect.CloseClient(1)));
     }
 
+    /** Whoever began first: each request's time is counted from its own start. */
+    @Test
+    void closesHalfSentRequestsInTheOrderOfTheirTime() {
+        Desk desk = new Desk(TERMS, new Bounds(9, 9, 9, MEGABYTE), counters, InOrderModule::new);
+        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        desk.reduce(new Event.ClientCame(1), 1);
+        desk.reduce(new Event.ClientCame(2), 2);
+        desk.reduce(new Event.ClientQuiet(2), 1_000_000);
+        desk.reduce(new Event.ClientBegan(2), 2_000_000);
+        desk.reduce(new Event.ClientBegan(1), 2_400_000);
+        assertTrue(desk.reduce(new Event.Tick(), 2_500_001).contains(new Effect.CloseClient(1)));
+    }
+
     /** All descriptors together stay under the limit, at each limit that a configuration may state. */
     @Test
     void fitsTheDescriptors() {
