A router started with SIGHUP ignored takes new configurations again: run undoes it, else the file is looked at

Ruled out: versions that go back after the move (asked with since -1, whole list came); the list's clock; a reload that fails (no warning). Probe: `trap '' HUP; exec java ... serve`, kill -HUP: nothing happens, nothing is said.

At fault: Signals.onHangUp line 33, which took the handler for set. nohup leaves SIGHUP ignored, children inherit that, and the JVM doesn't register a handler for an ignored SIGHUP: sun.misc.Signal.handle just returns SIG_IGN.

Tests, seen to fail on the lines before: ServeTest.takesNewConfigurationsAlsoWhereSighupIsIgnored ("it ... listens on" and no word of the file; the wait for the moved watch never ends) and .theRunLineTakesSighupWhoeverStartsIt ("expected: <false> but was: <true>", nothing before java).

--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -27,7 +27,6 @@
 import yewdock.platform.Config;
 import yewdock.settings.OperatorSettings;
 import yewdock.sockets.Clock;
-import yewdock.sockets.Signals;
 import yewdock.upgrade.KeeperEffect;
 import yewdock.upgrade.KeeperEvent;
 import yewdock.upgrade.Limits;
@@ -98,7 +97,11 @@
         Thread accepting = new Thread(this::acceptControl, "control");
         accepting.setDaemon(true);
         accepting.start();
-        Signals.onHangUp(() -> events.add(new KeeperEvent.HungUp()));
+        String otherwise = ConfigurationFile.whenChanged(settings.daemon().config(),
+                () -> events.add(new KeeperEvent.HungUp()));
+        if (!otherwise.isEmpty()) {
+            Say.warn("configuration.looked_at", "why", otherwise);
+        }
         Thread leave = new Thread(() -> {
             events.add(new KeeperEvent.Leave());
             try {
--- a/src/main/java/yewdock/daemon/Serve.java
+++ b/src/main/java/yewdock/daemon/Serve.java
@@ -14,7 +14,6 @@
 import yewdock.door.Door;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
-import yewdock.sockets.Signals;
 import yewdock.sockets.Sockets;
 
 /** One router in this process, as the platform runs it: no keeper, no store. */
@@ -60,7 +59,7 @@
         }, "leave"));
         // One after the other: of two SIGHUPs, the later one's file must come out on top.
         Object turn = new Object();
-        boolean taken = Signals.onHangUp(() -> {
+        String otherwise = ConfigurationFile.whenChanged(Path.of(file), () -> {
             synchronized (turn) {
                 try {
                     sockets.reconfigure(read(file, log));
@@ -69,8 +68,8 @@
                 }
             }
         });
-        if (!taken) {
-            Logger.warn("SIGHUP can't be taken here: a new configuration needs a restart");
+        if (!otherwise.isEmpty()) {
+            Logger.warn("{}", otherwise);
         }
         try {
             if (succession != null) {
--- a/src/main/java/yewdock/sockets/Signals.java
+++ b/src/main/java/yewdock/sockets/Signals.java
@@ -12,7 +12,11 @@
     private Signals() {
     }
 
-    /** Runs the task at each SIGHUP, on a thread of its own; false if this machine has no such signal. */
+    /**
+     * Runs the task at each SIGHUP, on a thread of its own. False if this machine has no such signal, or if it
+     * was ignored when the process was started, as nohup has it: the JVM then leaves it ignored, and says so
+     * only by what it returns.
+     */
     public static boolean onHangUp(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
@@ -28,8 +32,8 @@
                         case "hashCode" -> System.identityHashCode(proxy);
                         default -> "SIGHUP";
                     });
-            handle.invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
-            return true;
+            Object before = handle.invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             return false;
         }
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -1,6 +1,7 @@
 package yewdock;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -143,37 +144,69 @@
     /** SIGHUP must not end it: a bad file changes nothing, a good one moves the watch. */
     @Test
     void takesNewConfigurationsAtSighup() throws Exception {
+        takesNewConfigurations(true, "env", "--default-signal=HUP");
+    }
+
+    /** Started with SIGHUP ignored, as nohup does, the JVM can't take it: the file is looked at instead. */
+    @Test
+    void takesNewConfigurationsAlsoWhereSighupIsIgnored() throws Exception {
+        takesNewConfigurations(false, "sh", "-c", "trap '' HUP; exec \"$@\"", "sh");
+    }
+
+    /** The platform may start the router from a process that ignores SIGHUP: the run line undoes that. */
+    @Test
+    void theRunLineTakesSighupWhoeverStartsIt() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String before = run.substring(run.indexOf("exec ") + "exec ".length(), run.indexOf("java "));
+        assertFalse(before.isBlank(), run);
+        takesNewConfigurations(true, "sh", "-c", "trap '' HUP; exec " + before + "\"$@\"", "sh");
+    }
+
+    private void takesNewConfigurations(boolean bySignal, String... before) throws Exception {
         InetAddress local = InetAddress.getByName("127.0.0.1");
         try (ServerSocket list = new ServerSocket(0, 50, local);
                 ServerSocket next = new ServerSocket(0, 50, local)) {
+            next.setSoTimeout(20_000);
             String config = Files.readString(Exchange.FOLDER.resolve("config.json"))
                     .replace("127.0.0.1:8000", "127.0.0.1:0");
-            Process router = start(config.replace("127.0.0.1:8500", at(list)));
-            BufferedReader log = router.inputReader();
-            readUntil(log, "listens on");
-            Files.writeString(folder.resolve("config.json"), "{");
-            hangUp(router);
-            readUntil(log, "the old one stays");
-            Files.writeString(folder.resolve("config.json"), config.replace("127.0.0.1:8500", at(next)));
-            hangUp(router);
-            hangUp(router);
-            try (Socket asked = next.accept()) {
-                assertEquals("GET /v1/endpoints HTTP/1.1", new BufferedReader(new InputStreamReader(
-                        asked.getInputStream(), StandardCharsets.US_ASCII)).readLine());
+            Process router = start(config.replace("127.0.0.1:8500", at(list)), before);
+            try {
+                BufferedReader log = router.inputReader();
+                String first = readUntil(log, "listens on");
+                assertEquals(bySignal, !first.contains("is read again whenever it has changed"), first);
+                Files.writeString(folder.resolve("config.json"), "{");
+                hangUp(router);
+                readUntil(log, "the old one stays");
+                Files.writeString(folder.resolve("config.json"),
+                        config.replace("127.0.0.1:8500", at(next)));
                 hangUp(router);
-                router.toHandle().destroy();
-                assertTrue(router.waitFor(30, TimeUnit.SECONDS));
+                hangUp(router);
+                try (Socket asked = next.accept()) {
+                    assertEquals("GET /v1/endpoints HTTP/1.1", new BufferedReader(new InputStreamReader(
+                            asked.getInputStream(), StandardCharsets.US_ASCII)).readLine());
+                    hangUp(router);
+                    router.toHandle().destroy();
+                    assertTrue(router.waitFor(30, TimeUnit.SECONDS));
+                }
+                String rest = log.lines().reduce("", (a, b) -> a + b + "\n");
+                assertTrue(rest.contains("counters at exit"), rest);
+            } finally {
+                router.destroyForcibly();
             }
-            String rest = log.lines().reduce("", (a, b) -> a + b + "\n");
-            assertTrue(rest.contains("counters at exit"), rest);
         }
     }
 
-    private static void readUntil(BufferedReader log, String words) throws IOException {
-        String line = log.readLine();
-        while (!line.contains(words)) {
-            line = log.readLine();
+    /** Reads to the line with these words; returns all that was read. */
+    private static String readUntil(BufferedReader log, String words) throws IOException {
+        StringBuilder read = new StringBuilder();
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            read.append(line).append('\n');
+            if (line.contains(words)) {
+                return read.toString();
+            }
         }
+        throw new IOException("it ended without saying '" + words + "':\n" + read);
     }
 
     private static void hangUp(Process router) throws Exception {
