A call to a busy discovery keeps its turn: given up early, it kept the service busy and nobody was heard

Ruled out: an outage (seven are served all along), resets (status 503, Connection: close), the module's waits (0.25 to 3 s, spread).

At fault: ListWatch.patience, 1.2 s for any call that doesn't wait. The service handles calls in turn and fails what would wait for more than 2 s; so a call with 1.2 to 2 s before its turn was given up, its turn spent on nobody, and the router's next call stood behind it. With more of these than turns the queue never falls again.

Change: a call is waited for 2.1 s, but the one made anew behind a watch that fell silent, which has 1.2 s as before (two silences in a row still keep a drain: AskedListTest, DiscoveryTermTest unchanged).

--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -18,11 +18,17 @@
     private static final long COUNTS_AS_TOLD = 6_000_000;
     /**
      * Of what is left of that time and the drain's grace after the wait, the answer to a call that waited may
-     * take three tenths, and that of a call for what is there, which may have to wait its turn, six: of two
+     * take three tenths, and that of the call made anew after it, which may have to wait its turn, six: of two
      * silent calls in a row the second is given up with a tenth left in which the third brings the news.
      */
     private static final int WAITED_TENTHS = 3;
-    private static final int ASKED_TENTHS = 6;
+    private static final int ANEW_TENTHS = 6;
+    /**
+     * Any other call keeps its turn: a busy service answers a call, or fails it, once it has waited for 2 s.
+     * Given up before that, its turn is spent on nobody, and the next call waits behind it: many routers that
+     * do so keep a service busy for ever, and none of them hears of anything.
+     */
+    private static final long TURN = 2_100_000;
     private static final int TENTHS = 10;
     /** So many silent calls in a row are followed by the next at once; after that the module says when. */
     private static final int SILENT_CALLS = 2;
@@ -132,15 +138,19 @@
 
     /** A watch goes on only if its next call comes within 200 ms of the last answer: it is made at once. */
     private void ask(long wait) {
+        ask(wait, patience(wait));
+    }
+
+    private void ask(long wait, long patience) {
         out = true;
         long mine = ++call;
         calledAt = now.getAsLong();
         counters.add("list.calls");
         effects.accept(new Effect.AskList(address, version, wait));
-        timers.at(calledAt + wait + patience(wait), () -> {
+        timers.at(calledAt + wait + patience, () -> {
             if (out && call == mine) {
                 effects.accept(new Effect.HangUpList());
-                silent();
+                silent(wait > 0);
             }
         });
     }
@@ -149,11 +159,11 @@
      * A list that is asked has said nothing for too long: that call is broken, not the service, and what it
      * missed counts as told soon. Asked anew at once; a service that stays silent is the module's to spare.
      */
-    private void silent() {
+    private void silent(boolean watched) {
         if (!terms.listPushed() && silences < SILENT_CALLS) {
             silences++;
             counters.add("list.silent");
-            ask(0);
+            ask(0, watched ? tenths(ANEW_TENTHS) : patience(0));
         } else {
             whenLate.run();
         }
@@ -174,9 +184,14 @@
     }
 
     private long patience(long wait) {
-        return terms.listPushed() ? part() * Math.min(MOST_PATIENCE, 1 + failures)
-                : (COUNTS_AS_TOLD - WAIT + terms.drainGrace()) / TENTHS
-                        * (wait > 0 ? WAITED_TENTHS : ASKED_TENTHS);
+        if (terms.listPushed()) {
+            return part() * Math.min(MOST_PATIENCE, 1 + failures);
+        }
+        return wait > 0 ? tenths(WAITED_TENTHS) : TURN;
+    }
+
+    private long tenths(int parts) {
+        return (COUNTS_AS_TOLD - WAIT + terms.drainGrace()) / TENTHS * parts;
     }
 
     /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
