What came before a reset is passed on: MINA dropped bytes read in the same go as the error

Ruled out: idle and room closes, the client's own end, a stream taken for silent, an answer taken for spoilt (each logged, none there).

At fault: AbstractPollingIoProcessor.read of MINA 2.2.4 reads until nothing is left; where the second of these reads throws (connection reset), what the first one brought is never handed on. Data and reset need only be there together when it reads. The same loses a list's news behind which discovery resets the watch.

Change: WholeReads, the processor's read: an error behind bytes ends the reading, the bytes are passed on, then the connection is closed. Used for clients, servers and discovery alike.

Test: ResetBehindBytesTest holds the reading until bytes and reset are both there. Without WholeReads: "expected: <data: [DONE]" but was the empty text.

--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -97,7 +97,7 @@
     public Sockets(int mostClients) {
         room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
-        processor = new NioProcessor(threads);
+        processor = new WholeReads(threads);
         acceptor = new BoundedAcceptor(threads, processor, room, wire -> front.accept(wire));
         connector = new NioSocketConnector(threads, processor);
         connector.setHandler(new Handler());
--- /dev/null
+++ b/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
@@ -0,0 +1,112 @@
+package yewdock.sockets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import umberspread.GenerationRouter;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Terms;
+import yewdock.platform.Config;
+import yewdock.platform.Front;
+import yewdock.platform.Side;
+import yewdock.platform.Wire;
+
+/** A server writes the last of its answer and resets the connection: what it wrote still counts. */
+class ResetBehindBytesTest {
+    private static final String ANSWER = "data: [DONE]\n\n";
+
+    private final Sockets sockets = new Sockets(4);
+    private Listening listening;
+
+    /** What comes over the connection, and then its end. */
+    private static final class Reader implements Side {
+        private final StringBuilder came = new StringBuilder();
+        private final CompletableFuture<String> atEnd = new CompletableFuture<>();
+        private final CountDownLatch up = new CountDownLatch(1);
+
+        @Override
+        public void up() {
+            up.countDown();
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            came.append(StandardCharsets.US_ASCII.decode(bytes));
+        }
+
+        @Override
+        public void written(int bytes) {
+            throw new AssertionError("nothing is written");
+        }
+
+        @Override
+        public void idle() {
+            throw new AssertionError("nothing is closed gently");
+        }
+
+        @Override
+        public void down() {
+            atEnd.complete(came.toString());
+        }
+    }
+
+    @BeforeEach
+    void serve() throws Exception {
+        Config config = Config.read(Files.readString(Path.of("src/test/resources/exchanges/config.json")),
+                line -> { });
+        Counters counters = new Counters();
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
+                actions -> new GenerationRouter(config.settings(), 1, actions));
+        listening = Listening.start(sockets,
+                new Front(config, desk, counters, sockets, sockets.clock(), line -> { }), desk);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        listening.stop();
+    }
+
+    /** The bytes and the reset are both there before the router reads: it does not read in between. */
+    @Test
+    void whatCameBeforeAResetIsPassedOn() throws Exception {
+        Reader reader = new Reader();
+        CompletableFuture<Wire> wire = new CompletableFuture<>();
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            sockets.post(() -> sockets.connect("127.0.0.1:" + server.getLocalPort(), made -> {
+                wire.complete(made);
+                return reader;
+            }));
+            Socket accepted = server.accept();
+            reader.up.await(10, TimeUnit.SECONDS);
+            Wire held = wire.get(10, TimeUnit.SECONDS);
+            onDesk(() -> held.hold(true));
+            accepted.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            accepted.setSoLinger(true, 0);
+            accepted.close();
+            onDesk(() -> held.hold(false));
+            assertEquals(ANSWER, reader.atEnd.get(10, TimeUnit.SECONDS));
+        }
+    }
+
+    private void onDesk(Runnable work) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        sockets.post(() -> {
+            work.run();
+            done.complete(null);
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+}
