A repeat that must arrive within its window leaves time for the connection it may need

At fault: BoundedLoadRouter.mayRepeatAt compared the window with the time of the decision, not of the arrival. Change: the time for connecting is added. Nothing changes where requests may simply be repeated.

Test: dedupRetryIsSentWhileANewConnectionComesUpInItsWindow; on the lines before "expected: <1> but was: <2>".

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -1179,10 +1179,10 @@
         if (ran == null || p.type.effect() == Effect.RETRYABLE) {
             return true;
         }
-        if (p.type.effect() == Effect.FRAGILE || now >= ran.sentAt + p.type.window()) {
-            return false;
-        }
-        return switch (p.type.group()) {
+        // sent over a connection that may have to be made first, it must arrive in its window
+        long arrives = now + settings.limits().connectTimeout();
+        return p.type.effect() == Effect.DEDUP && arrives < ran.sentAt + p.type.window()
+                && switch (p.type.group()) {
             case ALL -> true;
             case ZONE -> ran.node.replica.zone() == n.replica.zone();
             case CELL -> ran.node.replica.cell() == n.replica.cell();
--- a/src/test/java/umberspread/BoundedLoadRouterTest.java
+++ b/src/test/java/umberspread/BoundedLoadRouterTest.java
@@ -310,6 +310,20 @@
         assertEquals(List.of(id), f.refused, "all replicas drop its repeats: trying again is harmless");
     }
 
+    /** A repeat may wait for its connection for as long as one may take, and is then still in its window. */
+    @Test
+    void dedupRetryIsSentWhileANewConnectionComesUpInItsWindow() {
+        Fixture.Setup setup = new Fixture.Setup();
+        setup.effect = Effect.DEDUP;
+        for (long early : new long[] {1, 0}) {
+            Fixture f = fixture(setup, 8);
+            long id = f.arrive(1, 0);
+            f.now += 5 * SECOND - 250_000 - early;
+            f.end(id, 0, Outcome.ERROR, false);
+            assertEquals(early > 0 ? 2 : 1, f.sent.size());
+        }
+    }
+
     @Test
     void oneAttemptOnlyMeansOne() {
         Fixture.Setup setup = new Fixture.Setup();
