A stream is the client's once its first event is whole: a reset inside that event may still be tried elsewhere

Ruled out: bytes dropped behind a reset (traced, none left), idle and room closes, a close of ours (the server's reset comes first), faults (none).

At fault: BoxSide.body passed a stream's first bytes on, and Streams.piece took them for its first event. Change: what comes before the end of the first event (a data line and an empty one) is kept, 16 KiB at most, and passed on with it; until then a reset ends the attempt like any other before its answer. Later bytes pass as they come. The half second in which a stream must open runs from the last byte that came, since an event may come in pieces; the attempt's own time bounds it.

--- a/src/main/java/yewdock/desk/Streams.java
+++ b/src/main/java/yewdock/desk/Streams.java
@@ -6,7 +6,7 @@
 final class Streams {
     /** A stream silent for so long is taken for broken: its client counts as lost after 5 s. */
     static final long SILENCE = 4_500_000;
-    /** A stream must have begun so long after its head's first byte: else it is spoilt. */
+    /** Of a stream that has not begun no more came for so long after its head's first byte: it is spoilt. */
     static final long OPENING = 500_000;
     /** A client that takes nothing for so long is cut off, for its stream holds a box's line. */
     static final long STALL = 30_000_000;
@@ -30,9 +30,12 @@
     void answerBegan(long id) {
         Line line = lines.get(id);
         Try t = line == null ? null : line.current;
-        if (t != null && t.closingAs == null) {
-            turn.at(turn.now() + OPENING, () -> {
-                if (t.line == line && line.current == t && !t.begun() && t.closingAs == null) {
+        if (t != null && t.closingAs == null && !t.begun()) {
+            long heard = turn.now();
+            t.lastPieceAt = heard;
+            turn.at(heard + OPENING, () -> {
+                if (t.line == line && line.current == t && !t.begun() && t.closingAs == null
+                        && t.lastPieceAt == heard) {
                     turn.count("streams.unopened");
                     tries.hangUp(t, Outcome.ERROR);
                 }
--- a/src/main/java/yewdock/platform/BoxSide.java
+++ b/src/main/java/yewdock/platform/BoxSide.java
@@ -1,5 +1,6 @@
 package yewdock.platform;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -20,15 +21,23 @@
     private static final Set<String> OWN = Set.of("connection", "keep-alive", "transfer-encoding",
             "content-length", "expect", "te", "trailer", "upgrade", "proxy-connection", "x-time-left");
     private static final double MICROS = 1e6;
+    /** A first event longer than this goes to the client before it is whole. */
+    private static final int MOST_OPENING = 16 * 1024;
 
     private final Front front;
     private final long line;
     private final Wire wire;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.ANSWER, this);
-    private final EventLines events = new EventLines(this::eventLine);
+    private final EventLines events = new EventLines(this::eventLine, this::eventEnd);
+    /**
+     * What has come of a stream whose first event is not whole yet. A client that had a part of that event could
+     * only be cut off if the server's connection broke; without it the request may still be tried elsewhere.
+     */
+    private final ByteArrayOutputStream opening = new ByteArrayOutputStream();
+    private boolean data;
+    private boolean opened;
     private boolean busy;
-    /** Whether the answer has begun to come, and whether a part of its body has. */
-    private boolean coming;
+    /** Whether a part of the answer's body has come, and of a stream the first event. */
     private boolean flowing;
     /** Whether the line has brought an answer before. */
     private boolean used;
@@ -66,8 +75,10 @@
         ByteBuffer all = ByteBuffer.allocate(start.length + request.body().length);
         all.put(start).put(request.body()).flip();
         busy = true;
-        coming = false;
         flowing = false;
+        opened = false;
+        data = false;
+        opening.reset();
         head = null;
         report = null;
         kept = 0;
@@ -105,8 +116,7 @@
                     whole(!bytes.hasRemaining());
                 }
             }
-            if (busy && !flowing && !coming && !reader.untouched()) {
-                coming = true;
+            if (busy && !flowing && !reader.untouched()) {
                 front.happened(new Event.AnswerBegan(line));
             }
         } catch (BadMessageException e) {
@@ -124,19 +134,40 @@
 
     @Override
     public void body(ByteBuffer piece) {
-        flowing = true;
-        if (head.status() == 200) {
-            events.read(piece);
+        if (head.status() != 200) {
+            flowing = true;
+            return;
+        }
+        boolean first = !flowing;
+        events.read(piece);
+        if (!first) {
             front.happened(new Event.Piece(line, piece));
+            return;
+        }
+        byte[] bytes = new byte[piece.remaining()];
+        piece.get(bytes);
+        opening.writeBytes(bytes);
+        if (opened || opening.size() > MOST_OPENING) {
+            passOpening();
         }
     }
 
+    private void passOpening() {
+        flowing = true;
+        ByteBuffer all = ByteBuffer.wrap(opening.toByteArray());
+        opening.reset();
+        front.happened(new Event.Piece(line, all));
+    }
+
     @Override
     public void end() {
         // taken up by received, once the reader has let go of the bytes
     }
 
     private void whole(boolean clean) {
+        if (opening.size() > 0) {
+            passOpening();
+        }
         busy = false;
         used = true;
         Outcome outcome = switch (head.status()) {
@@ -150,6 +181,7 @@
 
     /** A stream's last lines carry the load report, in a comment, and how much of the prompt was kept. */
     private void eventLine(String text) {
+        data |= text.startsWith("data");
         if (text.startsWith(":")) {
             LoadReport read = LoadReports.inComment(text);
             report = read == null ? report : read;
@@ -164,6 +196,10 @@
         }
     }
 
+    private void eventEnd() {
+        opened |= data;
+    }
+
     void hold(boolean held) {
         wire.hold(held);
     }
