One lingering close for clients: what they still send no longer resets the answer, and bounds hold meanwhile

Read: Wire.closeAfterWriting closed at once after the last write; bytes of the client's not read by then (a next request, a flood, a body behind a refusal) make the system reset the connection, and the answer's end, where it is still on its way, goes with it. Only turned-down requests and overruns had closeGently, which dropped what came for a second, without shutting the sending side: its client saw the end a second late. Answers with `Connection: close` while leaving, cut streams, idle closes and the process's own end had neither.

Change: Lingering, the standard form, for all of them and for operators' calls: shut the sending side once all is written, read and drop, close when the other side has, after a second, or after 4 MiB. Where all descriptors for clients are taken, the one that has lingered longest is closed for the next that comes. closeGently is gone; the exchanges' "ends gently" is "ends" now, since there is one kind. MINA can't shut one side and hides its channel: one reflective field.

Tests: LingeringTest, real sockets, the crossing forced by held reads. With closeOnFlush in its place: "bytesThatCrossTheClose...: Socket Broken pipe"; without making room: "lingeringConnectionsMakeRoomForNewOnes: SocketTimeout Read timed out".

--- a/src/main/java/yewdock/daemon/NoWire.java
+++ b/src/main/java/yewdock/daemon/NoWire.java
@@ -20,11 +20,6 @@
         close();
     }
 
-    @Override
-    public void closeGently() {
-        close();
-    }
-
     @Override
     public void hold(boolean held) {
         // never full
--- a/src/main/java/yewdock/door/Caller.java
+++ b/src/main/java/yewdock/door/Caller.java
@@ -17,8 +17,6 @@
     private final Wire wire;
     private final StringBuilder line = new StringBuilder();
     private boolean called;
-    /** Whether more came than the line: closing on it unread could lose the answer. */
-    private boolean surplus;
 
     Caller(Door door, long id, Wire wire) {
         this.door = door;
@@ -39,13 +37,11 @@
         while (bytes.hasRemaining()) {
             char c = (char) (bytes.get() & 0xff);
             if (c == '\n') {
-                surplus = bytes.hasRemaining();
                 call(line.toString());
                 return;
             }
             line.append(c);
             if (line.length() > MOST_LINE) {
-                surplus = true;
                 turnDown("the line is too long");
                 return;
             }
@@ -82,15 +78,7 @@
 
     void answer(String text) {
         wire.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
-        end();
-    }
-
-    private void end() {
-        if (surplus) {
-            wire.closeGently();
-        } else {
-            wire.closeAfterWriting();
-        }
+        wire.closeAfterWriting();
     }
 
     /** Others need the place: one that is being answered goes by itself, one that says nothing goes now. */
@@ -107,7 +95,7 @@
         // the close waits for it
     }
 
-    /** No call came for long, or the end of a gentle close. */
+    /** No call came for long, or it has lingered long enough. */
     @Override
     public void idle() {
         called = true;
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -36,8 +36,6 @@
      * end behind it would not be seen, and the connection closes with the answer.
      */
     private boolean overrun;
-    /** Whether the client may still be sending what was not read. */
-    private boolean gently;
 
     ClientSide(Front front, long id, Wire wire) {
         this.front = front;
@@ -112,7 +110,6 @@
         ahead.clear();
         aheadBytes = 0;
         closing = true;
-        gently = true;
         answer(status, why + "\n", "");
     }
 
@@ -261,11 +258,7 @@
         forgetBody();
         if (closing || overrun) {
             closing = true;
-            if (gently || overrun) {
-                wire.closeGently();
-            } else {
-                wire.closeAfterWriting();
-            }
+            wire.closeAfterWriting();
             return;
         }
         if (front.closingIdle() && ahead.isEmpty()) {
@@ -299,7 +292,7 @@
         }
     }
 
-    /** The end of a gentle close. */
+    /** It has lingered long enough. */
     @Override
     public void idle() {
         if (closing) {
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -10,14 +10,11 @@
     /** Closes now, or gives up connecting. */
     void close();
 
-    /** Closes when all has been written. */
-    void closeAfterWriting();
-
     /**
-     * Closes when the other side has, or after a second, and drops what still comes until then: closing on
-     * unread bytes could lose the answer, and keeping them would let a client fill the memory.
+     * Ends the connection once all has been written, and drops what still comes until the other side has closed
+     * it, or for a second: closing on unread bytes could lose what was written.
      */
-    void closeGently();
+    void closeAfterWriting();
 
     /** Stops reading, or goes on. */
     void hold(boolean held);
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -24,6 +24,7 @@
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.AttributeKey;
@@ -71,6 +72,7 @@
     private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector;
     private final NioProcessor processor;
+    private final Lingering lingering;
     private final Room room;
     private final Semaphore queueRoom = new Semaphore(MOST_QUEUED);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -95,6 +97,12 @@
 
     /** Sockets for so many clients at once. */
     public Sockets(int mostClients) {
+        this(mostClients, Lingering.SECONDS);
+    }
+
+    /** The same, lingering for so long. */
+    Sockets(int mostClients, int lingerSeconds) {
+        lingering = new Lingering(lingerSeconds);
         room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
         processor = new WholeReads(threads);
@@ -257,7 +265,7 @@
         acceptor.unbind();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_WRITES_MILLIS);
         for (IoSession session : acceptor.getManagedSessions().values()) {
-            session.closeOnFlush();
+            ((SessionWire) session.getAttribute(WIRE)).closeAfterWriting();
         }
         for (IoSession session : acceptor.getManagedSessions().values()) {
             session.getCloseFuture().awaitUninterruptibly(
@@ -382,7 +390,10 @@
         @Override
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listening)
                 throws Exception {
-            room.acquire();
+            if (!room.tryAcquire()) {
+                lingering.makeRoom();
+                room.acquire();
+            }
             NioSession session = null;
             try {
                 // null, where another process was quicker to take the connection
@@ -421,11 +432,15 @@
         private ConnectFuture connecting;
         private Side side;
         private boolean isDown;
+        /** What was written last; null if nothing was. */
+        private WriteFuture last;
+        /** Whether what comes is dropped, and how much of it has come. */
         private volatile boolean deaf;
+        private int dropped;
 
         @Override
         public void write(ByteBuffer bytes) {
-            session.write(IoBuffer.wrap(bytes));
+            last = session.write(IoBuffer.wrap(bytes));
         }
 
         @Override
@@ -442,13 +457,10 @@
 
         @Override
         public void closeAfterWriting() {
-            session.closeOnFlush();
-        }
-
-        @Override
-        public void closeGently() {
-            deaf = true;
-            session.getConfig().setWriterIdleTime(1);
+            if (!deaf) {
+                deaf = true;
+                lingering.begin(session, last);
+            }
         }
 
         @Override
@@ -514,11 +526,15 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             SessionWire wire = wire(session);
+            ByteBuffer bytes = ((IoBuffer) message).buf();
+            int size = bytes.remaining();
             if (wire.deaf) {
+                wire.dropped += size;
+                if (!lingering.mayDrop(wire.dropped)) {
+                    session.closeNow();
+                }
                 return;
             }
-            ByteBuffer bytes = ((IoBuffer) message).buf();
-            int size = bytes.remaining();
             queueRoom.acquireUninterruptibly(size);
             queue.add(new Task(wire, () -> {
                 queueRoom.release(size);
@@ -539,7 +555,7 @@
             }));
         }
 
-        /** Only a connection that is being closed gently has an idle time. */
+        /** Only a connection that lingers has an idle time, and one that operators made. */
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
             SessionWire wire = wire(session);
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -268,11 +268,6 @@
             saw(name, "ends");
         }
 
-        @Override
-        public void closeGently() {
-            saw(name, "ends gently");
-        }
-
         @Override
         public void hold(boolean held) {
             saw(name, held ? "held" : "read on");
--- a/src/test/java/yewdock/door/DoorTest.java
+++ b/src/test/java/yewdock/door/DoorTest.java
@@ -135,11 +135,6 @@
             closed = true;
         }
 
-        @Override
-        public void closeGently() {
-            closed = true;
-        }
-
         @Override
         public void hold(boolean held) {
             // nothing comes by itself
--- /dev/null
+++ b/src/test/java/yewdock/sockets/LingeringTest.java
@@ -0,0 +1,191 @@
+package yewdock.sockets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import umberspread.GenerationRouter;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Terms;
+import yewdock.platform.Config;
+import yewdock.platform.Front;
+import yewdock.platform.Side;
+import yewdock.platform.Wire;
+
+/** A connection is closed while its other side is still sending. */
+class LingeringTest {
+    private static final String ANSWER = "the whole answer";
+    private static final int LONG = 3600;
+    /** With room for no client at all, so many are accepted: those that are being closed. */
+    private static final int ACCEPTED = 24;
+
+    private Sockets sockets;
+    private Listening listening;
+
+    private void serve(int seconds) throws Exception {
+        sockets = new Sockets(0, seconds);
+        Config config = Config.read(Files.readString(Path.of("src/test/resources/exchanges/config.json")),
+                line -> { });
+        Counters counters = new Counters();
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
+                actions -> new GenerationRouter(config.settings(), 1, actions));
+        listening = Listening.start(sockets,
+                new Front(config, desk, counters, sockets, sockets.clock(), line -> { }), desk);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        listening.stop();
+    }
+
+    /** Answers nothing by itself, and closes when it has lingered long enough. */
+    private static final class Quiet implements Side {
+        private final CountDownLatch up = new CountDownLatch(1);
+        private final CountDownLatch down = new CountDownLatch(1);
+        private final CompletableFuture<Wire> wire = new CompletableFuture<>();
+        private int received;
+
+        @Override
+        public void up() {
+            up.countDown();
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            received += bytes.remaining();
+        }
+
+        @Override
+        public void written(int bytes) {
+            // nothing waits for it
+        }
+
+        @Override
+        public void idle() {
+            wire.join().close();
+        }
+
+        @Override
+        public void down() {
+            down.countDown();
+        }
+    }
+
+    /** A connection of the router's to a peer of the test's, and the peer's end of it. */
+    private Socket connected(Quiet side) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            sockets.post(() -> sockets.connect("127.0.0.1:" + server.getLocalPort(), made -> {
+                side.wire.complete(made);
+                return side;
+            }));
+            Socket peer = server.accept();
+            assertTrue(side.up.await(10, TimeUnit.SECONDS));
+            peer.setSoTimeout(10_000);
+            return peer;
+        }
+    }
+
+    private void onDesk(Runnable work) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        sockets.post(() -> {
+            work.run();
+            done.complete(null);
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+
+    /** What the peer sent is not read when the connection is ended, and it sends on after that. */
+    @Test
+    void bytesThatCrossTheCloseDoNotResetTheAnswer() throws Exception {
+        serve(LONG);
+        Quiet side = new Quiet();
+        try (Socket peer = connected(side)) {
+            Wire wire = side.wire.get();
+            onDesk(() -> wire.hold(true));
+            peer.getOutputStream().write(new byte[1000]);
+            onDesk(() -> {
+                wire.write(ByteBuffer.wrap(ANSWER.getBytes(StandardCharsets.US_ASCII)));
+                wire.closeAfterWriting();
+            });
+            byte[] came = new byte[ANSWER.length()];
+            peer.getInputStream().readNBytes(came, 0, came.length);
+            assertEquals(ANSWER, new String(came, StandardCharsets.US_ASCII));
+            assertEquals(-1, peer.getInputStream().read(), "the end, and not a reset");
+            peer.getOutputStream().write(new byte[1000]);
+            onDesk(() -> wire.hold(false));
+            peer.getOutputStream().write(new byte[1000]);
+            assertEquals(-1, peer.getInputStream().read(), "still the end");
+        }
+        assertTrue(side.down.await(10, TimeUnit.SECONDS), "closed when the peer has closed");
+        assertEquals(0, side.received, "what came behind the end was taken for more");
+    }
+
+    /** One that never closes is closed after a while, and one that sends without end sooner. */
+    @Test
+    void aPeerThatStaysIsClosed() throws Exception {
+        serve(1);
+        Quiet rests = new Quiet();
+        try (Socket peer = connected(rests)) {
+            rests.wire.get();
+            onDesk(() -> rests.wire.join().closeAfterWriting());
+            assertEquals(-1, peer.getInputStream().read());
+            assertTrue(rests.down.await(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aPeerThatSendsWithoutEndIsClosed() throws Exception {
+        serve(LONG);
+        Quiet floods = new Quiet();
+        try (Socket peer = connected(floods)) {
+            onDesk(() -> floods.wire.join().closeAfterWriting());
+            byte[] piece = new byte[64 * 1024];
+            for (int i = 0; i < 1000 && floods.down.getCount() > 0; i++) {
+                peer.getOutputStream().write(piece);
+            }
+        } catch (java.net.SocketException e) {
+            // closed under it, as it should be
+        }
+        assertTrue(floods.down.await(10, TimeUnit.SECONDS));
+    }
+
+    /** Those that linger hold descriptors: when others come, the oldest of them makes room. No server is up. */
+    @Test
+    void lingeringConnectionsMakeRoomForNewOnes() throws Exception {
+        serve(LONG);
+        List<Socket> stay = new ArrayList<>();
+        try {
+            for (int i = 0; i < 2 * ACCEPTED; i++) {
+                Socket client = new Socket(listening.at().getAddress(), listening.at().getPort());
+                stay.add(client);
+                client.setSoTimeout(10_000);
+                client.getOutputStream().write(("POST /v1/chat/completions HTTP/1.1\r\n"
+                        + "X-Correlation-Id: " + i + "\r\nX-Service-Class: chat\r\n"
+                        + "X-Account: lalitpur-metro\r\nX-Time-Left: 8\r\nConnection: close\r\n"
+                        + "X-Facts: prompt_len=1,prefix_len=0,max_out=9\r\nContent-Length: 2\r\n\r\n{}")
+                        .getBytes(StandardCharsets.US_ASCII));
+                String answer = new String(client.getInputStream().readAllBytes(),
+                        StandardCharsets.US_ASCII);
+                assertTrue(answer.startsWith("HTTP/1.1 503 "), i + ": " + answer);
+            }
+        } finally {
+            for (Socket client : stay) {
+                client.close();
+            }
+        }
+    }
+}
--- a/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
+++ b/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
@@ -54,7 +54,7 @@
 
         @Override
         public void idle() {
-            throw new AssertionError("nothing is closed gently");
+            throw new AssertionError("nothing lingers");
         }
 
         @Override
