A new process asks its agent before it acts on the list it was started with, which may be old

Its log: n0, killed at 12.1 s and started again, listens at 15.401, sends to that server at 15.519, and no answer of the agent's has come in between. The server drains since 12.56 s; the list in the configuration is older. What an agent has counts as told from a process's first moment, and the start itself takes longer than the grace (0.4 s).

Ruled out: the watch's calls (the agent answers each within milliseconds), a drain overwritten (none told yet).

At fault: Desk.started told the module of the known list and was ready at once. Right where the list is asked; not with an agent. Change: with a pushed list the module hears of no server, and /ready says why not, until the agent has answered; one that is silent is waited for for 1 s, then the known list stands. Requests that come meanwhile wait in the module as they do without a list.

Tests: PushedListTest.aNewProcessDoesNotActOnItsKnownListBeforeTheAgentHasAnswered, .aNewProcessActsOnItsKnownListWhereTheAgentIsSilent. On the lines before the first fails at "unready" being empty.

--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -24,6 +24,11 @@
     /** After being told to leave: new connections still come for 0.4 s, and requests count for 0.7 s. */
     static final long LEAVE_IDLE_AFTER = 500_000;
     static final long LEAVE_AFTER = 800_000;
+    /**
+     * What an agent on this machine has counts as told from a process's first moment: the list that the process was
+     * started with, which may be old, is not acted on before the agent has answered, or has been silent so long.
+     */
+    static final long AGENT_FIRST = 1_000_000;
 
     private final Turn turn;
     private final Clients clients;
@@ -35,6 +40,8 @@
     private final Tries tries;
     private final Streams streams;
     private final Calls calls;
+    /** Whether the module has yet to be told of any box, since the agent has not answered. */
+    private boolean unheard;
     private boolean leaving;
     private boolean lettingGo;
     private Older older = Older.NONE;
@@ -102,6 +109,9 @@
         if (turn.inDoubt()) {
             return "in doubt about what is agreed";
         }
+        if (unheard) {
+            return "the agent that has the box list has not answered";
+        }
         return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
     }
 
@@ -331,7 +341,20 @@
         watch.begin(e.listAddress(), known.version());
         boxes.keep(known);
         turn.tell(0, m -> m.started(turn.now()));
-        turn.tell(0, m -> m.listReceived(turn.now(), ListKind.CACHED, replicas(boxes.over(known))));
+        unheard = watch.pushed();
+        if (unheard) {
+            turn.at(turn.now() + AGENT_FIRST, this::heard);
+        } else {
+            changedHere();
+        }
+    }
+
+    /** From now on the module acts on what is known. */
+    private void heard() {
+        if (unheard) {
+            unheard = false;
+            changedHere();
+        }
     }
 
     private void listCame(BoxList list) {
@@ -340,6 +363,7 @@
         }
         boxes.keep(list);
         lines.closeIdleToLeavers();
+        heard();
         if (watch.came(list)) {
             turn.tell(0, m -> m.listReceived(turn.now(), list.full() ? ListKind.FULL : ListKind.DELTA,
                     replicas(boxes.over(list))));
@@ -358,6 +382,9 @@
      */
     private void changedHere() {
         lines.closeIdleToLeavers();
+        if (unheard) {
+            return;
+        }
         BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.all()));
         turn.tell(0, m -> m.listReceived(turn.now(), ListKind.CACHED, replicas(all)));
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -129,6 +129,10 @@
         hangUpAndAsk();
     }
 
+    boolean pushed() {
+        return terms.listPushed();
+    }
+
     String address() {
         return address;
     }
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -136,6 +136,33 @@
         return now - at;
     }
 
+    /**
+     * What the agent has counts as told from a new process's first moment: the known list, which may be older, is
+     * acted on only where the agent stays silent.
+     */
+    @Test
+    void aNewProcessDoesNotActOnItsKnownListBeforeTheAgentHasAnswered() {
+        BoxList known = agent.list;
+        drainBoxOne();
+        happens(new Event.Started(known, "127.0.0.1:8500"));
+        assertFalse(desk.unready().isEmpty());
+        assertEquals(List.of(), told, "the known list was acted on");
+        pass(5_000);
+        assertEquals("", desk.unready());
+        assertEquals("CACHED [1:DRAINING, 2:READY]", told.get(0));
+    }
+
+    @Test
+    void aNewProcessActsOnItsKnownListWhereTheAgentIsSilent() {
+        agent.silent = true;
+        start();
+        pass(990_000);
+        assertFalse(desk.unready().isEmpty());
+        pass(20_000);
+        assertEquals("", desk.unready());
+        assertEquals(List.of("CACHED [1:READY]"), told);
+    }
+
     /** Before, only the module's call began the watch, and with a pushed list it has no cause to call. */
     @Test
     void theWatchGoesOnFromTheFirstMomentThoughNobodyAsks() {
