--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -345,7 +345,7 @@
         if (unheard) {
             turn.at(turn.now() + AGENT_FIRST, this::heard);
         } else {
-            changedHere();
+            turn.tell(0, m -> m.listReceived(turn.now(), ListKind.CACHED, replicas(boxes.over(known))));
         }
     }
 
