--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -94,6 +94,30 @@
         }
     }
 
+    /** Told to end before discovery has said anything, and told again: it ends by itself, once. */
+    @Test
+    void endsAtSigtermBeforeTheFirstListAndAtASecondOne() throws Exception {
+        try (ServerSocket list = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            list.setSoTimeout(20_000);
+            Process router = start(Files.readString(Exchange.FOLDER.resolve("config.json"))
+                    .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:8500", at(list)));
+            try (Socket asked = list.accept()) {
+                assertEquals("GET /v1/endpoints?since=7&timeout_ms=0 HTTP/1.1", new BufferedReader(
+                        new InputStreamReader(asked.getInputStream(), StandardCharsets.US_ASCII)).readLine());
+                BufferedReader log = router.inputReader();
+                router.toHandle().destroy();
+                String said = readUntil(log, "leaving");
+                router.toHandle().destroy();
+                said += log.lines().reduce("", (a, b) -> a + b + "\n");
+                assertTrue(router.waitFor(30, TimeUnit.SECONDS));
+                assertEquals(1, said.split("counters at exit", -1).length - 1, said);
+                assertEquals(1, said.split("leaving", -1).length - 1, said);
+            } finally {
+                router.destroyForcibly();
+            }
+        }
+    }
+
     /**
      * Idle clients fill what there is of descriptors while discovery is down: the list is asked for all the
      * same once it is back, and a client that asks is answered.
