Watches that began together end apart: calls behind one change no longer wait for each other's turns

With six routers, a service that takes 0.15 s a call and the other customer's grace of 0.25 s the last waits for 0.9 s, is given up after 0.75 s, has its turn for nothing and calls behind it.

Change: the call behind news waits for 5 s less a drawn part of 1.3 s; later ones 5 s, so that they stay apart and quiet times cost what they did.

--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import umberspread.Mixing;
 
 /**
  * The watch on the box list, as a part of the reducer: one call at a time, at one address.
@@ -14,6 +15,12 @@
 final class ListWatch {
     /** How long a call for the list may wait for news. */
     static final long WAIT = 5_000_000;
+    /**
+     * A change is told to all at once, and their next calls go out together: were they to end together, or to be
+     * given up together where they fall silent, those that follow would wait for each other. Each waits for less by
+     * a part of this that is drawn.
+     */
+    private static final long APART = 1_300_000;
     /** What the service has counts as told so long after, whatever call has failed or said nothing. */
     private static final long COUNTS_AS_TOLD = 6_000_000;
     /**
@@ -216,7 +223,8 @@
         silences = 0;
         version = list.version();
         counters.add("list.answers");
-        long wait = terms.listPushed() ? part() : WAIT;
+        long wait = terms.listPushed() ? part() : list.boxes().isEmpty() ? WAIT
+                : WAIT - (long) (Mixing.unit(now.getAsLong()) * APART);
         boolean series = !list.boxes().isEmpty() && now.getAsLong() - newsAt < SERIES;
         newsAt = list.boxes().isEmpty() ? newsAt : now.getAsLong();
         if (series && !terms.listPushed()) {
--- a/src/test/java/yewdock/BusyDiscoveryTest.java
+++ b/src/test/java/yewdock/BusyDiscoveryTest.java
@@ -27,13 +27,13 @@
  */
 class BusyDiscoveryTest {
     private static final long SECOND = 1_000_000;
-    private static final long GRACE = SECOND;
     private static final long COUNTS_AS_TOLD = 6 * SECOND;
     private static final long STEP = 10_000;
     /** How long a call may wait for its turn. */
     private static final long MOST_WAIT = 2 * SECOND;
     private static final int ROUTERS = 24;
 
+    private long grace = SECOND;
     /** What a call takes of the service's time. */
     private long work = SECOND / 8;
     private long time = 1000 * SECOND;
@@ -51,21 +51,27 @@
         private long turnAt;
         private long openedAt;
         private boolean refused;
+        /** No two see anything in the same microsecond. */
+        private final long late;
+        /** The call that is out is never answered. */
+        private boolean silent;
         private int answers;
         private long has = 7;
 
         Router(int seed) {
-            desk = new Desk(new Terms(250_000, 30 * SECOND, false, GRACE, 10 * SECOND, true, 4, List.of(true),
+            late = seed % STEP;
+            desk = new Desk(new Terms(250_000, 30 * SECOND, false, grace, 10 * SECOND, true, 4, List.of(true),
                     List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(),
                     actions -> new BoundedLoadRouter(settings(), seed, actions));
             happens(new Event.Started(list(7, true, Lifecycle.READY), "127.0.0.1:8500"));
         }
 
         private void happens(Event event) {
-            for (Effect effect : desk.reduce(event, time)) {
+            for (Effect effect : desk.reduce(event, time + late)) {
                 if (effect instanceof Effect.AskList call) {
                     open = call;
                     openedAt = time;
+                    silent = false;
                     refused = Math.max(time, busyUntil) - time > MOST_WAIT;
                     if (!refused) {
                         busyUntil = Math.max(time, busyUntil) + work;
@@ -78,10 +84,10 @@
         }
 
         private void step() {
-            if (desk.nextDue() <= time) {
+            if (desk.nextDue() <= time + late) {
                 happens(new Event.Tick());
             }
-            if (open == null) {
+            if (open == null || silent) {
                 return;
             }
             boolean news = open.since() < version;
@@ -107,12 +113,12 @@
         }
     }
 
-    private static Routing.Settings settings() {
+    private Routing.Settings settings() {
         return new Routing.Settings(ROUTERS, 0, 0, List.of(new Routing.RequestClass("chat",
                 Routing.Effect.RETRYABLE, Routing.DedupGroup.ALL, 0, SECOND, 0, 0, 4 * SECOND, 1, 0, true,
                 Routing.Placement.ANYWHERE)),
                 List.of(), 0.1, true, new Routing.Limits(4, false, true, false, 250_000, 0),
-                new Routing.Contract(GRACE, 10 * SECOND, 0.3, 3, 2 * SECOND, 10 * SECOND,
+                new Routing.Contract(grace, 10 * SECOND, 0.3, 3, 2 * SECOND, 10 * SECOND,
                         Routing.AttemptBudget.NONE), new Routing.Prices(0, 0, 0, 0, 0));
     }
 
@@ -155,7 +161,7 @@
                     "routers that discovery has never answered in 15 s, seed " + seed);
             drained = true;
             changes();
-            pass(all, time + COUNTS_AS_TOLD + GRACE);
+            pass(all, time + COUNTS_AS_TOLD + grace);
             assertTrue(all.stream().allMatch(Router::knows), "not told in time, seed " + seed);
         }
     }
@@ -175,7 +181,7 @@
             busyUntil = time;
             drained = true;
             changes();
-            pass(all, time + COUNTS_AS_TOLD + GRACE);
+            pass(all, time + COUNTS_AS_TOLD + grace);
             assertTrue(all.stream().allMatch(Router::knows), "not told in time, seed " + seed + ": "
                     + all.stream().filter(r -> !r.knows()).count());
         }
@@ -209,4 +215,25 @@
             assertEquals(0, late, "seed " + seed + ": the last to hear was behind by " + most / 1000 + " ms");
         }
     }
+
+    /**
+     * A change has been told to all at once, so that their watches began together and, fallen silent, are given up
+     * together; a drain comes right after, and the calls for it wait for each other's turns.
+     */
+    @Test
+    void watchesThatFallSilentTogetherDoNotMakeEachOtherLate() {
+        work = SECOND * 3 / 20;
+        grace = SECOND / 4;
+        for (int seed = 0; seed < 20; seed++) {
+            List<Router> all = routers(seed, 6);
+            pass(all, time + 8 * SECOND);
+            changes();
+            pass(all, time + 2 * STEP);
+            all.forEach(r -> r.silent = true);
+            drained = true;
+            changes();
+            pass(all, time + COUNTS_AS_TOLD + grace);
+            assertEquals(0, all.stream().filter(r -> !r.knows()).count(), "not told in time, seed " + seed);
+        }
+    }
 }
