An instance with no lease yet says so: its status counted 292,000 years, and AgreementTest went on too early

The test kills the others then, and nobody ever leads. At fault: Agreement.lines took the time left as until - now, which overflows where no lease was ever held (Long.MIN_VALUE). Only what is shown: the desk compares the two and was in doubt all along. Change: compared, not subtracted.

--- a/src/main/java/yewdock/daemon/Agreement.java
+++ b/src/main/java/yewdock/daemon/Agreement.java
@@ -373,8 +373,9 @@
         if (council == null) {
             return List.of("agreement: not begun");
         }
-        long left = until - now();
-        String lease = left > 0 ? String.format(Locale.ROOT, "lease for %.1f s", left / 1e6)
+        // before the first lease there is none: its end is the least number, from which nothing may be taken
+        long now = now();
+        String lease = until > now ? String.format(Locale.ROOT, "lease for %.1f s", (until - now) / 1e6)
                 : settings.agreement().serveInDoubt() ? "in doubt, serving on" : "in doubt, refusing";
         return List.of("agreement: " + lease + ", step " + view.step() + ", revision " + view.revision()
                 + ", leader " + (council.leads() ? "this instance" : council.leader() == null ? "unknown"
