An idle close leaves what crosses it unread: read and dropped, a request counts as taken and is lost

At fault: the lingering close reads and drops. On a resting connection a request may cross the end; left unread the client asks anew elsewhere, as the protocol says, but read by the router it is taken. Change: Wire.closeResting for connections with no request open: the sending side is shut, nothing more is read, and the connection is closed a second later. Answers, refusals and cut streams linger as before. Test: LingeringTest.whatCrossesTheEndOfARestingConnectionIsNotRead; without the held reads "Expected java.net.SocketException to be thrown, but nothing was thrown".

--- a/src/main/java/yewdock/daemon/NoWire.java
+++ b/src/main/java/yewdock/daemon/NoWire.java
@@ -20,6 +20,11 @@
         close();
     }
 
+    @Override
+    public void closeResting() {
+        close();
+    }
+
     @Override
     public void hold(boolean held) {
         // never full
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -124,7 +124,7 @@
             wire.close();
         } else if (reader.untouched()) {
             closing = true;
-            wire.closeAfterWriting();
+            wire.closeResting();
         } else {
             front.counters().add("requests.malformed");
             turnDown(408, "the request did not come in time");
@@ -277,7 +277,7 @@
     void closeIfIdle() {
         if (!closing && !midway()) {
             closing = true;
-            wire.closeAfterWriting();
+            wire.closeResting();
         }
     }
 
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -16,6 +16,12 @@
      */
     void closeAfterWriting();
 
+    /**
+     * Ends a connection at rest. What crosses the end is left unread, so that it counts as never taken: the other
+     * side asks anew elsewhere.
+     */
+    void closeResting();
+
     /** Stops reading, or goes on. */
     void hold(boolean held);
 }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -463,6 +463,14 @@
             }
         }
 
+        @Override
+        public void closeResting() {
+            if (!deaf) {
+                session.suspendRead();
+                closeAfterWriting();
+            }
+        }
+
         @Override
         public void hold(boolean held) {
             if (held) {
--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -268,6 +268,11 @@
             saw(name, "ends");
         }
 
+        @Override
+        public void closeResting() {
+            saw(name, "ends");
+        }
+
         @Override
         public void hold(boolean held) {
             saw(name, held ? "held" : "read on");
--- a/src/test/java/yewdock/door/DoorTest.java
+++ b/src/test/java/yewdock/door/DoorTest.java
@@ -135,6 +135,11 @@
             closed = true;
         }
 
+        @Override
+        public void closeResting() {
+            throw new AssertionError("operators' connections never rest");
+        }
+
         @Override
         public void hold(boolean held) {
             // nothing comes by itself
--- a/src/test/java/yewdock/sockets/LingeringTest.java
+++ b/src/test/java/yewdock/sockets/LingeringTest.java
@@ -1,6 +1,7 @@
 package yewdock.sockets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
@@ -134,6 +135,24 @@
         assertEquals(0, side.received, "what came behind the end was taken for more");
     }
 
+    /**
+     * A request that crosses the end of a resting connection is never read: read and dropped, it would count as
+     * taken and be lost. The reset that closes the connection in the end tells that its bytes were still there.
+     */
+    @Test
+    void whatCrossesTheEndOfARestingConnectionIsNotRead() throws Exception {
+        serve(1);
+        Quiet side = new Quiet();
+        try (Socket peer = connected(side)) {
+            onDesk(() -> side.wire.join().closeResting());
+            assertEquals(-1, peer.getInputStream().read(), "the end comes at once");
+            peer.getOutputStream().write(new byte[1000]);
+            assertTrue(side.down.await(10, TimeUnit.SECONDS));
+            assertThrows(java.net.SocketException.class, () -> peer.getOutputStream().write(1));
+        }
+        assertEquals(0, side.received);
+    }
+
     /** One that never closes is closed after a while, and one that sends without end sooner. */
     @Test
     void aPeerThatStaysIsClosed() throws Exception {
