Connections at rest are closed both ways at once: a half-closed one still took requests that nobody served

At fault: shutting one side of a resting connection. What the client sends after that is still accepted by the system: taken, by the protocol's words, and then neither read nor answered; closed both ways it meets a reset, and the client asks anew elsewhere. Test: LingeringTest.whatCrossesTheCloseOfARestingConnectionIsNotAccepted; with the lingering close in its place: "expected: <true> but was: <false>", the connection stays.

--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -17,8 +17,8 @@
     void closeAfterWriting();
 
     /**
-     * Ends a connection at rest. What crosses the end is left unread, so that it counts as never taken: the other
-     * side asks anew elsewhere.
+     * Closes a connection at rest, at once and both ways. What crosses the close is answered by the system with a
+     * reset, so that it counts as never taken: the other side asks anew elsewhere.
      */
     void closeResting();
 
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -265,7 +265,7 @@
         acceptor.unbind();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_WRITES_MILLIS);
         for (IoSession session : acceptor.getManagedSessions().values()) {
-            ((SessionWire) session.getAttribute(WIRE)).closeAfterWriting();
+            ((SessionWire) session.getAttribute(WIRE)).closeResting();
         }
         for (IoSession session : acceptor.getManagedSessions().values()) {
             session.getCloseFuture().awaitUninterruptibly(
@@ -466,8 +466,8 @@
         @Override
         public void closeResting() {
             if (!deaf) {
-                session.suspendRead();
-                closeAfterWriting();
+                deaf = true;
+                session.closeOnFlush();
             }
         }
 
