--- a/src/main/java/yewdock/proof/Router.java
+++ b/src/main/java/yewdock/proof/Router.java
@@ -56,8 +56,9 @@
         Path operator = Files.writeString(folder.resolve("operator.hcl"), "daemon {\n  config = \"" + config
                 + "\"\n  control = \"" + folder.resolve("run")
                         + "\"\n}\nupgrade {\n" + upgradeBlock + "\n}\n" + more);
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
-                "java").toString(),
+        // whoever runs the proof may ignore SIGHUP, and a daemon would inherit that
+        Process process = new ProcessBuilder("env", "--default-signal=HUP,TERM",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx32m", "-cp",
                 System.getProperty("java.class.path"), main, "daemon", "--settings",
                 operator.toString()).redirectErrorStream(true).start();
