The lingering close is for clients that were turned down; answers and cut streams are closed both ways as before

Change: only requests that are turned down, and connections overrun, linger: there the client's bytes were read and dropped before, too.

--- a/src/main/java/yewdock/daemon/NoWire.java
+++ b/src/main/java/yewdock/daemon/NoWire.java
@@ -21,7 +21,7 @@
     }
 
     @Override
-    public void closeResting() {
+    public void linger() {
         close();
     }
 
--- a/src/main/java/yewdock/door/Caller.java
+++ b/src/main/java/yewdock/door/Caller.java
@@ -78,7 +78,7 @@
 
     void answer(String text) {
         wire.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
-        wire.closeAfterWriting();
+        wire.linger();
     }
 
     /** Others need the place: one that is being answered goes by itself, one that says nothing goes now. */
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -36,6 +36,8 @@
      * end behind it would not be seen, and the connection closes with the answer.
      */
     private boolean overrun;
+    /** Whether the client may still be sending what was not taken. */
+    private boolean turnedDown;
 
     ClientSide(Front front, long id, Wire wire) {
         this.front = front;
@@ -110,6 +112,7 @@
         ahead.clear();
         aheadBytes = 0;
         closing = true;
+        turnedDown = true;
         answer(status, why + "\n", "");
     }
 
@@ -124,7 +127,7 @@
             wire.close();
         } else if (reader.untouched()) {
             closing = true;
-            wire.closeResting();
+            wire.closeAfterWriting();
         } else {
             front.counters().add("requests.malformed");
             turnDown(408, "the request did not come in time");
@@ -258,7 +261,11 @@
         forgetBody();
         if (closing || overrun) {
             closing = true;
-            wire.closeAfterWriting();
+            if (turnedDown || overrun) {
+                wire.linger();
+            } else {
+                wire.closeAfterWriting();
+            }
             return;
         }
         if (front.closingIdle() && ahead.isEmpty()) {
@@ -277,7 +284,7 @@
     void closeIfIdle() {
         if (!closing && !midway()) {
             closing = true;
-            wire.closeResting();
+            wire.closeAfterWriting();
         }
     }
 
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -11,16 +11,16 @@
     void close();
 
     /**
-     * Ends the connection once all has been written, and drops what still comes until the other side has closed
-     * it, or for a second: closing on unread bytes could lose what was written.
+     * Closes both ways when all has been written. What crosses the close meets a reset, so that it counts as never
+     * taken: the other side asks anew elsewhere. Half closed, the connection would still take it.
      */
     void closeAfterWriting();
 
     /**
-     * Closes a connection at rest, at once and both ways. What crosses the close is answered by the system with a
-     * reset, so that it counts as never taken: the other side asks anew elsewhere.
+     * Ends a connection whose other side may still be sending what was turned down: closing on unread bytes could
+     * lose the answer. What still comes is dropped until the other side has closed, or for a second.
      */
-    void closeResting();
+    void linger();
 
     /** Stops reading, or goes on. */
     void hold(boolean held);
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -265,7 +265,7 @@
         acceptor.unbind();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_WRITES_MILLIS);
         for (IoSession session : acceptor.getManagedSessions().values()) {
-            ((SessionWire) session.getAttribute(WIRE)).closeResting();
+            ((SessionWire) session.getAttribute(WIRE)).closeAfterWriting();
         }
         for (IoSession session : acceptor.getManagedSessions().values()) {
             session.getCloseFuture().awaitUninterruptibly(
@@ -459,15 +459,15 @@
         public void closeAfterWriting() {
             if (!deaf) {
                 deaf = true;
-                lingering.begin(session, last);
+                session.closeOnFlush();
             }
         }
 
         @Override
-        public void closeResting() {
+        public void linger() {
             if (!deaf) {
                 deaf = true;
-                session.closeOnFlush();
+                lingering.begin(session, last);
             }
         }
 
--- a/src/test/java/yewdock/sockets/GoneClientTest.java
+++ b/src/test/java/yewdock/sockets/GoneClientTest.java
@@ -122,6 +122,11 @@
             InputStream in = client.getInputStream();
             assertEquals(-1, in.read(), "was answered");
         }
+        // the client sees its connection's end a moment before the desk does
+        long patience = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (counted("answers.left_before") == 0 && System.nanoTime() < patience) {
+            Thread.onSpinWait();
+        }
         assertEquals(1, counted("answers.left_before"));
     }
 }
