--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -25,8 +25,9 @@
     static final long LEAVE_IDLE_AFTER = 500_000;
     static final long LEAVE_AFTER = 800_000;
     /**
-     * What an agent on this machine has counts as told from a process's first moment: the list that the process was
-     * started with, which may be old, is not acted on before the agent has answered, or has been silent so long.
+     * What an agent on this machine has counts as told from a process's first moment: the list that the
+     * process was started with, which may be old, is not acted on before the agent has answered, or has
+     * been silent so long.
      */
     static final long AGENT_FIRST = 1_000_000;
 
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -16,17 +16,18 @@
     /** How long a call for the list may wait for news. */
     static final long WAIT = 5_000_000;
     /**
-     * A change is told to all at once, and their next calls go out together: were they to end together, or to be
-     * given up together where they fall silent, those that follow would wait for each other. Each waits for less by
-     * a part of this that is drawn.
+     * A change is told to all at once, and their next calls go out together: were they to end together, or
+     * to be given up together where they fall silent, those that follow would wait for each other. Each
+     * waits for less by a part of this that is drawn.
      */
     private static final long APART = 1_300_000;
     /** What the service has counts as told so long after, whatever call has failed or said nothing. */
     private static final long COUNTS_AS_TOLD = 6_000_000;
     /**
-     * Of what is left of that time and the drain's grace after the wait, the answer to a call that waited may
-     * take three tenths, and that of the call made anew after it, which may have to wait its turn, six: of two
-     * silent calls in a row the second is given up with a tenth left in which the third brings the news.
+     * Of what is left of that time and the drain's grace after the wait, the answer to a call that waited
+     * may take three tenths, and that of the call made anew after it, which may have to wait its turn,
+     * six: of two silent calls in a row the second is given up with a tenth left in which the third brings
+     * the news.
      */
     private static final int WAITED_TENTHS = 3;
     private static final int ANEW_TENTHS = 6;
@@ -53,9 +54,10 @@
     private static final long PACE = 50_000;
 
     /**
-     * News so soon after the last is one of a series, as a release brings: there the next call waits a little, and
-     * brings what has changed by then. Calls that follow each change at once would be more than a service of
-     * many routers has turns for, and those who hear of everything would leave none to the others.
+     * News so soon after the last is one of a series, as a release brings: there the next call waits a
+     * little, and brings what has changed by then. Calls that follow each change at once would be more
+     * than a service of many routers has turns for, and those who hear of everything would leave none to
+     * the others.
      */
     private static final long SERIES = 2_000_000;
     private static final long REST = 1_000_000;
--- a/src/main/java/yewdock/http/EventLines.java
+++ b/src/main/java/yewdock/http/EventLines.java
@@ -6,8 +6,8 @@
 import java.util.function.Consumer;
 
 /**
- * Cuts an event stream into its lines, as bytes come; lines over the bound are dropped unseen. A line ends with
- * CR, LF or both; an empty one ends an event.
+ * Cuts an event stream into its lines, as bytes come; lines over the bound are dropped unseen. A line ends
+ * with CR, LF or both; an empty one ends an event.
  */
 public final class EventLines {
     private static final int MOST_LINE = 16 * 1024;
--- a/src/main/java/yewdock/platform/BoxSide.java
+++ b/src/main/java/yewdock/platform/BoxSide.java
@@ -30,8 +30,9 @@
     private final MessageReader reader = new MessageReader(MessageReader.Kind.ANSWER, this);
     private final EventLines events = new EventLines(this::eventLine, this::eventEnd);
     /**
-     * What has come of a stream whose first event is not whole yet. A client that had a part of that event could
-     * only be cut off if the server's connection broke; without it the request may still be tried elsewhere.
+     * What has come of a stream whose first event is not whole yet. A client that had a part of that event
+     * could only be cut off if the server's connection broke; without it the request may still be tried
+     * elsewhere.
      */
     private final ByteArrayOutputStream opening = new ByteArrayOutputStream();
     private boolean data;
--- a/src/main/java/yewdock/platform/Wire.java
+++ b/src/main/java/yewdock/platform/Wire.java
@@ -11,14 +11,15 @@
     void close();
 
     /**
-     * Closes both ways when all has been written. What crosses the close meets a reset, so that it counts as never
-     * taken: the other side asks anew elsewhere. Half closed, the connection would still take it.
+     * Closes both ways when all has been written. What crosses the close meets a reset, so that it counts
+     * as never taken: the other side asks anew elsewhere. Half closed, the connection would still take it.
      */
     void closeAfterWriting();
 
     /**
-     * Ends a connection whose other side may still be sending what was turned down: closing on unread bytes could
-     * lose the answer. What still comes is dropped until the other side has closed, or for a second.
+     * Ends a connection whose other side may still be sending what was turned down: closing on unread
+     * bytes could lose the answer. What still comes is dropped until the other side has closed, or for a
+     * second.
      */
     void linger();
 
--- a/src/main/java/yewdock/sockets/Lingering.java
+++ b/src/main/java/yewdock/sockets/Lingering.java
@@ -12,10 +12,10 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * Closes connections whose other side may still be sending. A close over bytes that were not read resets the
- * connection, and what was written last may be lost with it. So the sending side is shut once all is written,
- * what still comes is read and dropped, and the connection is closed when the other side has closed it, after a
- * second, after too many bytes, or when its descriptor is wanted.
+ * Closes connections whose other side may still be sending. A close over bytes that were not read resets
+ * the connection, and what was written last may be lost with it. So the sending side is shut once all is
+ * written, what still comes is read and dropped, and the connection is closed when the other side has
+ * closed it, after a second, after too many bytes, or when its descriptor is wanted.
  */
 final class Lingering {
     /** How long it waits for the other side. */
--- a/src/main/java/yewdock/sockets/Signals.java
+++ b/src/main/java/yewdock/sockets/Signals.java
@@ -13,9 +13,9 @@
     }
 
     /**
-     * Runs the task at each SIGHUP, on a thread of its own. False if this machine has no such signal, or if it
-     * was ignored when the process was started, as nohup has it: the JVM then leaves it ignored, and says so
-     * only by what it returns.
+     * Runs the task at each SIGHUP, on a thread of its own. False if this machine has no such signal, or
+     * if it was ignored when the process was started, as nohup has it: the JVM then leaves it ignored, and
+     * says so only by what it returns.
      */
     public static boolean onHangUp(Runnable task) {
         try {
--- a/src/main/java/yewdock/sockets/WholeReads.java
+++ b/src/main/java/yewdock/sockets/WholeReads.java
@@ -7,9 +7,9 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA reads a connection until nothing is left, and forgets what that brought when the last of these reads
- * fails: a stream's end, or a list, behind which its sender has reset the connection. Here they are passed on,
- * and the connection is closed behind them.
+ * MINA reads a connection until nothing is left, and forgets what that brought when the last of these
+ * reads fails: a stream's end, or a list, behind which its sender has reset the connection. Here they are
+ * passed on, and the connection is closed behind them.
  */
 final class WholeReads extends NioProcessor {
     WholeReads(Executor threads) {
--- a/src/test/java/yewdock/BusyDiscoveryTest.java
+++ b/src/test/java/yewdock/BusyDiscoveryTest.java
@@ -217,8 +217,8 @@
     }
 
     /**
-     * A change has been told to all at once, so that their watches began together and, fallen silent, are given up
-     * together; a drain comes right after, and the calls for it wait for each other's turns.
+     * A change has been told to all at once, so that their watches began together and, fallen silent, are
+     * given up together; a drain comes right after, and the calls for it wait for each other's turns.
      */
     @Test
     void watchesThatFallSilentTogetherDoNotMakeEachOtherLate() {
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -137,8 +137,8 @@
     }
 
     /**
-     * What the agent has counts as told from a new process's first moment: the known list, which may be older, is
-     * acted on only where the agent stays silent.
+     * What the agent has counts as told from a new process's first moment: the known list, which may be
+     * older, is acted on only where the agent stays silent.
      */
     @Test
     void aNewProcessDoesNotActOnItsKnownListBeforeTheAgentHasAnswered() {
--- a/src/test/java/yewdock/sockets/ForeignSettingsTest.java
+++ b/src/test/java/yewdock/sockets/ForeignSettingsTest.java
@@ -18,16 +18,21 @@
 import yewdock.platform.Config;
 import yewdock.platform.Front;
 
-/** One build under the settings of two unlike customers: what it knows of one it must not show to the other. */
+/**
+ * One build under the settings of two unlike customers: what it knows of one it must not show to the
+ * other.
+ */
 class ForeignSettingsTest {
     private static final Path ONE = Path.of("src/test/resources/exchanges/config.json");
     private static final String OTHER = """
             {"name":"r1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
              "known":{"version":1,"full":true,"servers":[
               {"id":"w-1","addr":"127.0.0.1:9","zone":"mill","kind":"tall","state":"up"}]},
-             "settings":{"instances":1,"ordinal":0,"zone":2,"discovery":"ask","zones":["upper","lower","mill"],
+             "settings":{"instances":1,"ordinal":0,"zone":2,"discovery":"ask",
+              "zones":["upper","lower","mill"],
               "shapes":["tall"],"orgs":[{"name":"courts","quota_rps":3.0}],
-              "classes":[{"name":"ledger","effect":"fragile","aim":2.5,"give_up":7.0,"stream":true,"worth":9.0}],
+              "classes":[{"name":"ledger","effect":"fragile","aim":2.5,"give_up":7.0,"stream":true,
+               "worth":9.0}],
               "limits":{"max_attempts":2,"connect_timeout":0.4,"keepalive":60.0},
               "contract":{"drain_grace":0.25,"cold":20.0,"cold_from":0.1,"fall_multiple":2.0,"fall":3.0,
                "ask_within":4.0}}}
@@ -114,11 +119,14 @@
     void theWarmUpIsNobodys() throws Exception {
         String warmUp = Files.readString(Path.of("deploy/warm-up.json"));
         Config config = Config.read(warmUp, line -> { });
-        assertEquals(List.of("class-1"), config.settings().classes().stream().map(c -> c.name()).toList());
-        assertEquals(List.of("zone-1", "zone-2"), config.names().sites().keySet().stream().sorted().toList());
+        assertEquals(List.of("class-1"),
+                config.settings().classes().stream().map(c -> c.name()).toList());
+        assertEquals(List.of("zone-1", "zone-2"),
+                config.names().sites().keySet().stream().sorted().toList());
         assertEquals(List.of("kind-1", "kind-2"), config.names().kinds().keySet().stream().sorted().toList());
         assertEquals(List.of("tenant-1"), List.copyOf(config.names().municipalities().keySet()));
         String script = Files.readString(Path.of("deploy/warm-up.sh"));
-        assertTrue(script.contains("TMPDIR=target/warm "), "its own folder, which no served process is given");
+        assertTrue(script.contains("TMPDIR=target/warm "),
+                "its own folder, which no served process is given");
     }
 }
