Exchanges tell a lingering close from an ordinary one again; one way to start the sockets of a test

On reading again: while every close lingered, "ends gently" had become "ends" in the exchanges; there are two kinds since, and the exchanges no longer told them apart. They do now: the lines of clients are those from before, operators' calls, which always linger, say so. LingeringTest and ResetBehindBytesTest built the same router and had the same onDesk: both are Listening's. No assertion is changed.

--- a/src/test/java/yewdock/Exchange.java
+++ b/src/test/java/yewdock/Exchange.java
@@ -270,7 +270,7 @@
 
         @Override
         public void linger() {
-            saw(name, "ends");
+            saw(name, "ends gently");
         }
 
         @Override
--- a/src/test/java/yewdock/sockets/LingeringTest.java
+++ b/src/test/java/yewdock/sockets/LingeringTest.java
@@ -18,12 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import umberspread.GenerationRouter;
-import yewdock.desk.Counters;
-import yewdock.desk.Desk;
-import yewdock.desk.Terms;
-import yewdock.platform.Config;
-import yewdock.platform.Front;
 import yewdock.platform.Side;
 import yewdock.platform.Wire;
 
@@ -39,13 +33,9 @@
 
     private void serve(int seconds) throws Exception {
         sockets = new Sockets(0, seconds);
-        Config config = Config.read(Files.readString(Path.of("src/test/resources/exchanges/config.json"))
-                .replaceFirst("\\{", "{\"limits\":{\"sockets\":1024,\"memory_mb\":160},"), line -> { });
-        Counters counters = new Counters();
-        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
-                actions -> new GenerationRouter(config.settings(), 1, actions));
         listening = Listening.start(sockets,
-                new Front(config, desk, counters, sockets, sockets.clock(), line -> { }), desk);
+                Files.readString(Path.of("src/test/resources/exchanges/config.json"))
+                .replaceFirst("\\{", "{\"limits\":{\"sockets\":1024,\"memory_mb\":160},"));
     }
 
     @AfterEach
@@ -100,15 +90,6 @@
         }
     }
 
-    private void onDesk(Runnable work) throws Exception {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        sockets.post(() -> {
-            work.run();
-            done.complete(null);
-        });
-        done.get(10, TimeUnit.SECONDS);
-    }
-
     /** What the peer sent is not read when the connection is ended, and it sends on after that. */
     @Test
     void bytesThatCrossTheCloseDoNotResetTheAnswer() throws Exception {
@@ -116,9 +97,9 @@
         Quiet side = new Quiet();
         try (Socket peer = connected(side)) {
             Wire wire = side.wire.get();
-            onDesk(() -> wire.hold(true));
+            listening.onDesk(() -> wire.hold(true));
             peer.getOutputStream().write(new byte[1000]);
-            onDesk(() -> {
+            listening.onDesk(() -> {
                 wire.write(ByteBuffer.wrap(ANSWER.getBytes(StandardCharsets.US_ASCII)));
                 wire.linger();
             });
@@ -127,7 +108,7 @@
             assertEquals(ANSWER, new String(came, StandardCharsets.US_ASCII));
             assertEquals(-1, peer.getInputStream().read(), "the end, and not a reset");
             peer.getOutputStream().write(new byte[1000]);
-            onDesk(() -> wire.hold(false));
+            listening.onDesk(() -> wire.hold(false));
             peer.getOutputStream().write(new byte[1000]);
             assertEquals(-1, peer.getInputStream().read(), "still the end");
         }
@@ -144,7 +125,7 @@
         serve(LONG);
         Quiet side = new Quiet();
         try (Socket peer = connected(side)) {
-            onDesk(() -> side.wire.join().closeAfterWriting());
+            listening.onDesk(() -> side.wire.join().closeAfterWriting());
             assertEquals(-1, peer.getInputStream().read(), "the end comes at once");
             assertTrue(side.down.await(10, TimeUnit.SECONDS));
             assertThrows(java.net.SocketException.class, () -> {
@@ -165,7 +146,7 @@
         Quiet rests = new Quiet();
         try (Socket peer = connected(rests)) {
             rests.wire.get();
-            onDesk(() -> rests.wire.join().linger());
+            listening.onDesk(() -> rests.wire.join().linger());
             assertEquals(-1, peer.getInputStream().read());
             assertTrue(rests.down.await(10, TimeUnit.SECONDS));
         }
@@ -176,7 +157,7 @@
         serve(LONG);
         Quiet floods = new Quiet();
         try (Socket peer = connected(floods)) {
-            onDesk(() -> floods.wire.join().linger());
+            listening.onDesk(() -> floods.wire.join().linger());
             byte[] piece = new byte[64 * 1024];
             for (int i = 0; i < 1000 && floods.down.getCount() > 0; i++) {
                 peer.getOutputStream().write(piece);
--- a/src/test/java/yewdock/sockets/Listening.java
+++ b/src/test/java/yewdock/sockets/Listening.java
@@ -3,7 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import umberspread.GenerationRouter;
+import yewdock.desk.Counters;
 import yewdock.desk.Desk;
+import yewdock.desk.Terms;
+import yewdock.platform.Config;
 import yewdock.platform.Front;
 
 /** Sockets that serve on a thread of their own, at a free port of this machine. */
@@ -24,6 +28,25 @@
         return new Listening(sockets, new InetSocketAddress(parts[0], Integer.parseInt(parts[1])), serves);
     }
 
+    /** A router with this configuration. */
+    static Listening start(Sockets sockets, String text) throws Exception {
+        Config config = Config.read(text, line -> { });
+        Counters counters = new Counters();
+        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
+                actions -> new GenerationRouter(config.settings(), 1, actions));
+        return start(sockets, new Front(config, desk, counters, sockets, sockets.clock(), line -> { }), desk);
+    }
+
+    /** Does this on the desk's thread, and waits until it is done. */
+    void onDesk(Runnable work) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        sockets.post(() -> {
+            work.run();
+            done.complete(null);
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+
     void stop() throws InterruptedException {
         sockets.post(sockets::stop);
         serves.join(10_000);
--- a/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
+++ b/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
@@ -15,12 +15,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import umberspread.GenerationRouter;
-import yewdock.desk.Counters;
-import yewdock.desk.Desk;
-import yewdock.desk.Terms;
-import yewdock.platform.Config;
-import yewdock.platform.Front;
 import yewdock.platform.Side;
 import yewdock.platform.Wire;
 
@@ -65,13 +59,8 @@
 
     @BeforeEach
     void serve() throws Exception {
-        Config config = Config.read(Files.readString(Path.of("src/test/resources/exchanges/config.json")),
-                line -> { });
-        Counters counters = new Counters();
-        Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
-                actions -> new GenerationRouter(config.settings(), 1, actions));
         listening = Listening.start(sockets,
-                new Front(config, desk, counters, sockets, sockets.clock(), line -> { }), desk);
+                Files.readString(Path.of("src/test/resources/exchanges/config.json")));
     }
 
     @AfterEach
@@ -92,21 +81,12 @@
             Socket accepted = server.accept();
             reader.up.await(10, TimeUnit.SECONDS);
             Wire held = wire.get(10, TimeUnit.SECONDS);
-            onDesk(() -> held.hold(true));
+            listening.onDesk(() -> held.hold(true));
             accepted.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
             accepted.setSoLinger(true, 0);
             accepted.close();
-            onDesk(() -> held.hold(false));
+            listening.onDesk(() -> held.hold(false));
             assertEquals(ANSWER, reader.atEnd.get(10, TimeUnit.SECONDS));
         }
     }
-
-    private void onDesk(Runnable work) throws Exception {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        sockets.post(() -> {
-            work.run();
-            done.complete(null);
-        });
-        done.get(10, TimeUnit.SECONDS);
-    }
 }
