A skipped list entry no longer takes its server's drain along; fault tests with processes

Seen: requests went to draining servers for as long as they were watched, in a new test with two router processes, their discovery, four servers and a judge written from the protocol. On the untouched program DrainUnderFaultsTest.aSpoiltEntryStillDrainsItsServer fails in both modes: asked: 1525 attempts of 7315, "router 1 sent to s-a1 557 ms after it was told, 557 ms after the change" pushed: 1508 attempts of 7400 and the router's log holds "box list entry 0 skipped: impossible weight or start". Ruled out: a list that was not heard. The answer was read whole; only the entry was dropped.

Root cause: BoxLists.box threw for any field that it could not use, before the entry's state counted, and BoxLists.read skipped the entry. The version moved on past it, so that discovery never told it again, and the server stayed in use as it was known before. The same in related places: an id listed twice kept its first state though the second was the drain; a state that is not known was skipped, so that its server stayed up; and of two names with one number the id depended on the order in which lists named them, so that one's drain could be taken for the other's (BoxLists.idOf).

Change: removals and drains need an id and a state, no more. Of two entries the one that ends its server's use counts. An unknown state counts as draining. An id stays with its name while it is listed, also from the list of the start on. Entries that can't be used are counted (list.unusable_entries).

--- a/src/main/java/yewdock/platform/BoxLists.java
+++ b/src/main/java/yewdock/platform/BoxLists.java
@@ -1,8 +1,9 @@
 package yewdock.platform;
 
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,19 +16,31 @@
 import yewdock.desk.BoxList;
 import yewdock.desk.ModelBox;
 
-/** Reads box lists. A bad entry is logged and skipped; the rest of its list still counts. */
+/**
+ * Reads lists of servers. An entry that can't be used is logged and skipped; the rest of its list still counts,
+ * and so does the entry's word that its server drains or is gone: that needs no more than an id and a state.
+ */
 public final class BoxLists {
     private static final double MOST_WEIGHT = 1e9;
+    /** The later, the more it ends its server's use. */
+    private static final List<Lifecycle> BY_SEVERITY =
+            List.of(Lifecycle.READY, Lifecycle.DRAINING, Lifecycle.GONE);
+
     private final Names names;
     private final Consumer<String> log;
-    /** Which name each number stands for: two names of one number must not be mixed up. */
-    private final Map<Long, String> known = new HashMap<>();
+    /** Which id each name has, for as long as it is listed: two names of one number must not be mixed up. */
+    private final Map<String, Long> idsByName = new HashMap<>();
 
     public BoxLists(Names names, Consumer<String> log) {
         this.names = names;
         this.log = log;
     }
 
+    /** The names in this list have the ids that they have there. */
+    public void remember(BoxList list) {
+        list.boxes().forEach(server -> idsByName.put(server.name(), server.id()));
+    }
+
     /** The list in a text; throws JSONException if it is none. */
     public BoxList read(String text) {
         return read(new JSONObject(text));
@@ -35,41 +48,82 @@
 
     /** The list in a JSON object; throws JSONException if it is none. */
     public BoxList read(JSONObject list) {
+        long version = list.getLong("version");
+        boolean full = list.getBoolean("full");
         JSONArray entries = list.getJSONArray("servers");
-        List<ModelBox> boxes = new ArrayList<>();
-        Set<Long> seen = new HashSet<>();
+        Map<Long, ModelBox> servers = new LinkedHashMap<>();
         for (int i = 0; i < entries.length(); i++) {
             try {
-                ModelBox box = box(entries.getJSONObject(i));
-                if (!seen.add(box.id())) {
-                    throw new JSONException("listed twice");
-                }
-                boxes.add(box);
+                add(servers, server(entries.getJSONObject(i), i), i);
             } catch (JSONException | IllegalArgumentException e) {
                 log.accept("box list entry " + i + " skipped: " + e.getMessage());
             }
         }
-        boolean full = list.getBoolean("full");
-        // Boxes come and go for as long as the router runs: the names of those that are gone must not stay.
-        Set<String> kept = new HashSet<>();
+        forgetUnlisted(servers.values(), full);
+        return new BoxList(version, full, List.copyOf(servers.values()));
+    }
+
+    /** Of several entries for one server the first counts, unless a later one ends the server's use. */
+    private void add(Map<Long, ModelBox> servers, ModelBox server, int place) {
+        ModelBox before = servers.putIfAbsent(server.id(), server);
+        if (before == null) {
+            return;
+        }
+        log.accept("box list entry " + place + ": " + server.name() + " is listed twice");
+        if (severity(server) > severity(before)) {
+            servers.put(server.id(), server);
+        }
+    }
+
+    private static int severity(ModelBox server) {
+        return BY_SEVERITY.indexOf(server.replica().lifecycle());
+    }
+
+    /** Servers come and go for as long as the router runs: the names of those that are gone must not stay. */
+    private void forgetUnlisted(Collection<ModelBox> servers, boolean full) {
+        Set<String> listed = new HashSet<>();
         Set<String> gone = new HashSet<>();
-        boxes.forEach(box -> (box.isGone() ? gone : kept).add(box.name()));
-        known.values().removeIf(name -> gone.contains(name) || full && !kept.contains(name));
-        return new BoxList(list.getLong("version"), full, boxes);
+        servers.forEach(server -> (server.isGone() ? gone : listed).add(server.name()));
+        idsByName.keySet().removeIf(name -> gone.contains(name) || full && !listed.contains(name));
     }
 
-    private ModelBox box(JSONObject entry) {
+    private ModelBox server(JSONObject entry, int place) {
         String name = entry.getString("id");
         long id = idOf(name);
-        String state = entry.getString("state");
-        if (state.equals("removed")) {
-            return new ModelBox(name, "", new Replica(id, 0, 0, 0, 1, Lifecycle.GONE, 0));
+        Lifecycle lifecycle = lifecycle(entry.getString("state"), name, place);
+        if (lifecycle == Lifecycle.GONE) {
+            return withStateOnly(name, id, lifecycle);
+        }
+        try {
+            return whole(entry, name, id, lifecycle);
+        } catch (JSONException | IllegalArgumentException e) {
+            if (lifecycle == Lifecycle.READY) {
+                throw e;
+            }
+            log.accept("box list entry " + place + " skipped but for its drain: " + e.getMessage());
+            return withStateOnly(name, id, lifecycle);
         }
-        Lifecycle lifecycle = switch (state) {
+    }
+
+    /** A state that is not known is not "up": its server is to get nothing new. */
+    private Lifecycle lifecycle(String state, String name, int place) {
+        return switch (state) {
             case "up" -> Lifecycle.READY;
             case "draining" -> Lifecycle.DRAINING;
-            default -> throw new IllegalArgumentException("unknown state " + state);
+            case "removed" -> Lifecycle.GONE;
+            default -> {
+                log.accept("box list entry " + place + ": " + name + " counts as draining, for its state is "
+                        + state);
+                yield Lifecycle.DRAINING;
+            }
         };
+    }
+
+    private static ModelBox withStateOnly(String name, long id, Lifecycle lifecycle) {
+        return new ModelBox(name, "", new Replica(id, 0, 0, 0, 1, lifecycle, 0));
+    }
+
+    private ModelBox whole(JSONObject entry, String name, long id, Lifecycle lifecycle) {
         String address = entry.getString("addr");
         Addresses.of(address);
         double weight = entry.optDouble("weight", 1);
@@ -83,13 +137,18 @@
     }
 
     private long idOf(String name) {
+        Long known = idsByName.get(name);
+        if (known != null) {
+            return known;
+        }
         long id = Ids.of(name);
-        if (id != 0 && !known.computeIfAbsent(id, n -> name).equals(name)) {
+        if (idsByName.containsValue(id)) {
             id = Ids.hash(name);
         }
-        if (id == 0 || !known.computeIfAbsent(id, n -> name).equals(name)) {
+        if (id == 0 || idsByName.containsValue(id)) {
             throw new IllegalArgumentException("no usable id: " + name);
         }
+        idsByName.put(name, id);
         return id;
     }
 
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -50,7 +50,10 @@
         this.counters = counters;
         this.wires = wires;
         this.names = config.names();
-        this.lists = new BoxLists(names, log);
+        this.lists = new BoxLists(names, line -> {
+            counters.add("list.unusable_entries");
+            log.accept(line);
+        });
         this.config = config;
         this.clock = clock;
         this.log = log;
@@ -63,6 +66,7 @@
 
     /** The first event, with a list that is newer than the configuration's. */
     public void start(BoxList known) {
+        lists.remember(known);
         happened(new Event.Started(known, config.discovery()));
     }
 
--- /dev/null
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -0,0 +1,65 @@
+package yewdock.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Router processes under traffic, faults between them and discovery, and servers that drain or go meanwhile:
+ * nothing begins at a server after its router counts as told and the grace is over.
+ */
+@Timeout(90)
+class DrainUnderFaultsTest {
+    private static final long GRACE_MILLIS = 500;
+    private static final int SERVERS = 4;
+    /** What counts as told at the latest 6 s on must be kept a grace later; more attempts are watched. */
+    private static final long UNTIL_JUDGED_MILLIS = 8_500;
+
+    @TempDir
+    private Path folder;
+
+    private static void pass(long millis) throws InterruptedException {
+        Thread.sleep(millis);
+    }
+
+    private static void assertKept(FaultRig rig) {
+        DrainJudge judge = rig.judge();
+        assertEquals(List.of(), judge.violations().stream().limit(5).toList(),
+                judge.violations().size() + " attempts of " + judge.attempts() + "\n" + rig.logs());
+        assertTrue(judge.attempts() > 100, "too little traffic: " + judge.attempts());
+    }
+
+    /** A planted fault: the server is told to drain on a list that the router is not shown. */
+    @Test
+    void theJudgeSeesADrainThatIsIgnored() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, 2)) {
+            pass(500);
+            rig.judge().changed(0, rig.server(0).name(), EndpointState.DRAINING, true);
+            pass(GRACE_MILLIS + 1_000);
+            assertFalse(rig.judge().violations().isEmpty());
+        }
+    }
+
+    /** An entry that can't be used as a whole still says that its server drains. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSpoiltEntryStillDrainsItsServer(boolean pushed) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 2, SERVERS)) {
+            pass(1_500);
+            rig.discovery(0).setSpoilt(rig.server(0).name(), "", EndpointState.DRAINING,
+                    "\"addr\":\"\",\"zone\":\"nowhere\",\"kind\":\"big-gpu\"");
+            rig.discovery(1).setSpoilt(rig.server(1).name(), "", EndpointState.DRAINING,
+                    "\"addr\":\"127.0.0.1:9\",\"zone\":\"kathmandu\",\"kind\":\"big-gpu\",\"weight\":-1");
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -0,0 +1,95 @@
+package yewdock.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A language-model server that tells the judge of each attempt's first byte, and answers at once. */
+final class RecordingServer implements Closeable {
+    private static final int BACKLOG = 256;
+    private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+
+    private final String name;
+    private final DrainJudge judge;
+    private final ServerSocket listener;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+    RecordingServer(String name, DrainJudge judge) throws IOException {
+        this.name = name;
+        this.judge = judge;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        thread(this::accept);
+    }
+
+    String name() {
+        return name;
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
+                open.add(socket);
+                thread(() -> serve(socket));
+            } catch (IOException e) {
+                // closed
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (int first = in.read(); first >= 0; first = in.read()) {
+                long at = System.nanoTime();
+                String head = Traffic.readHead(in, first);
+                in.readNBytes(Traffic.contentLength(head));
+                judge.attempted(routerOf(head), name, at);
+                socket.getOutputStream().write(ANSWER);
+            }
+        } catch (IOException e) {
+            // the router ended the connection
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    /** Clients put the router's number in front of each request's id. */
+    private static int routerOf(String head) {
+        String id = Traffic.field(head, "x-correlation-id");
+        return Integer.parseInt(id.substring(0, id.indexOf('-')), 16);
+    }
+
+    private static void thread(Runnable work) {
+        Thread thread = new Thread(work, "server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return String.format(Locale.ROOT, "%s at %s", name, address());
+    }
+}
