A discovery that counts its versions anew is asked for the whole list; an older list puts nothing back

Seen: after a restart of discovery with lower versions, requests went to a server that drained and to one that was removed for as long as they were watched. Each call after the restart was answered; the answers held no entry.

Root cause: ListWatch.came took any version for the one to ask changes since, whatever was held. Asked for what came after version 100, a service that stands at 3 has nothing to tell, says so with its version 3, and is then asked for what comes after 3: all that changed while it was away was skipped for ever. The other way round an older list from a replica that lags was taken over whole, and put a draining server back.

Change: ListVersions compares each answer with the newest version that was believed. Of an older one only what ends a server's use is taken over (KnownBoxes.endingsIn, which also serves what another process tells), and the whole list is asked for until one follows, or until the service has given older ones for a second: then it has begun to count anew and is believed. A moved list begins with no version, as before. Counted as list.older.

A service begun anew that has passed the held version by the first call after it can't be told from one that went on; that is left.

--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -1,10 +1,7 @@
 package yewdock.desk;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Function;
 import umberspread.Routing;
 import umberspread.Routing.ListKind;
@@ -359,16 +356,33 @@
     }
 
     private void listCame(BoxList list) {
+        if (watch.follows(list)) {
+            take(list);
+            if (watch.came(list)) {
+                tellModule(list);
+            }
+            return;
+        }
+        // as a change to the held list; a server that it does not name may only be unknown to a replica
+        BoxList endings = new BoxList(watch.version(), false,
+                boxes.endingsIn(list, Routing.Lifecycle.DRAINING));
+        take(endings);
+        watch.cameOlder(list);
+        tellModule(endings);
+    }
+
+    private void take(BoxList list) {
         if (others.any() || keeping) {
             turn.effect(new Effect.TellOthers(new OtherNews.Told(list, watch.address())));
         }
         boxes.keep(list);
         lines.closeIdleToLeavers();
         heard();
-        if (watch.came(list)) {
-            turn.tell(0, m -> m.listReceived(turn.now(), list.full() ? ListKind.FULL : ListKind.DELTA,
-                    replicas(boxes.over(list))));
-        }
+    }
+
+    private void tellModule(BoxList list) {
+        turn.tell(0, m -> m.listReceived(turn.now(), list.full() ? ListKind.FULL : ListKind.DELTA,
+                replicas(boxes.over(list))));
     }
 
     /** An operator's word acts at once, whatever the list says and whether or not it answers. */
@@ -459,19 +473,7 @@
         if (!address.equals(watch.address()) || list.version() <= watch.version()) {
             return;
         }
-        List<ModelBox> ending = new ArrayList<>();
-        Set<Long> named = new HashSet<>();
-        for (ModelBox box : list.boxes()) {
-            named.add(box.id());
-            if (!box.takesWork() && boxes.knows(box.id())) {
-                ending.add(box);
-            }
-        }
-        for (ModelBox box : boxes.told()) {
-            if (list.full() && !named.contains(box.id())) {
-                ending.add(KnownBoxes.as(box, Routing.Lifecycle.GONE));
-            }
-        }
+        List<ModelBox> ending = boxes.endingsIn(list, Routing.Lifecycle.GONE);
         if (!ending.isEmpty()) {
             boxes.keep(new BoxList(watch.version(), false, ending));
             changedHere();
--- a/src/main/java/yewdock/desk/KnownBoxes.java
+++ b/src/main/java/yewdock/desk/KnownBoxes.java
@@ -49,6 +49,27 @@
         toldAt.keySet().retainAll(told.keySet());
     }
 
+    /**
+     * What ends the use of known servers in a list that may not be believed otherwise. In a whole list a
+     * server's end is that it is not named; it counts as this state here.
+     */
+    List<ModelBox> endingsIn(BoxList list, Lifecycle unnamed) {
+        List<ModelBox> ending = new ArrayList<>();
+        Set<Long> named = new HashSet<>();
+        for (ModelBox server : list.boxes()) {
+            named.add(server.id());
+            if (!server.takesWork() && told.containsKey(server.id())) {
+                ending.add(server);
+            }
+        }
+        for (ModelBox server : told.values()) {
+            if (list.full() && !named.contains(server.id())) {
+                ending.add(as(server, unnamed));
+            }
+        }
+        return ending;
+    }
+
     /** These are all the marks that hold from now on; what drains no more is back. */
     void mark(Map<String, BoxMark> all) {
         Map<String, BoxMark> before = new TreeMap<>(marks);
@@ -158,10 +179,6 @@
         return boxes.get(id);
     }
 
-    boolean knows(long id) {
-        return told.containsKey(id);
-    }
-
     Collection<ModelBox> all() {
         return boxes.values();
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -68,8 +68,8 @@
     private final Counters counters;
     private final Consumer<Effect> effects;
     private final Runnable whenLate;
+    private final ListVersions versions = new ListVersions();
     private String address;
-    private long version = -1;
     private long call;
     private long calledAt;
     private boolean out;
@@ -91,7 +91,7 @@
     /** Where the list is to be had, and which version of it is known. */
     void begin(String where, long known) {
         address = where;
-        version = known;
+        versions.startWith(known);
         calledAt = now.getAsLong();
         if (terms.listPushed()) {
             ask(0);
@@ -119,7 +119,7 @@
             return;
         }
         address = where;
-        version = -1;
+        versions.startWith(ListVersions.NONE);
         failures = 0;
         silences = 0;
         hangUpAndAsk();
@@ -146,8 +146,21 @@
         return address;
     }
 
+    /** The version of the list that is held, or -1. */
     long version() {
-        return version;
+        return versions.newest();
+    }
+
+    /**
+     * Whether an answer follows the list that is held; called once for each, before {@link #came}. Of one that
+     * does not, only what ends a server's use may be taken over.
+     */
+    boolean follows(BoxList list) {
+        boolean follows = versions.follows(list, now.getAsLong());
+        if (!follows) {
+            counters.add("list.older");
+        }
+        return follows;
     }
 
     /** The module wants the list, and all changes from now on. */
@@ -168,7 +181,7 @@
         long mine = ++call;
         calledAt = now.getAsLong();
         counters.add("list.calls");
-        effects.accept(new Effect.AskList(address, version, wait));
+        effects.accept(new Effect.AskList(address, versions.since(), wait));
         timers.at(calledAt + wait + patience, () -> {
             if (out && call == mine) {
                 effects.accept(new Effect.HangUpList());
@@ -216,15 +229,28 @@
         return (COUNTS_AS_TOLD - WAIT + terms.drainGrace()) / TENTHS * parts;
     }
 
-    /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
-    boolean came(BoxList list) {
-        boolean news = asked || list.full() || !list.boxes().isEmpty();
-        asked = false;
+    /** An answer that does not follow the held list: the whole list is asked for until one is believed. */
+    void cameOlder(BoxList list) {
+        answered();
+        if (list.full()) {
+            askLater(terms.listPushed() ? part() : ListVersions.LONGEST_LAG, 0);
+        } else {
+            ask(0);
+        }
+    }
+
+    private void answered() {
         out = false;
+        asked = false;
         failures = 0;
         silences = 0;
-        version = list.version();
         counters.add("list.answers");
+    }
+
+    /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
+    boolean came(BoxList list) {
+        boolean news = asked || list.full() || !list.boxes().isEmpty();
+        answered();
         long wait = terms.listPushed() ? part() : list.boxes().isEmpty() ? WAIT
                 : WAIT - (long) (Mixing.unit(now.getAsLong()) * APART);
         boolean series = !list.boxes().isEmpty() && now.getAsLong() - newsAt < SERIES;
--- a/src/main/java/yewdock/platform/BoxLists.java
+++ b/src/main/java/yewdock/platform/BoxLists.java
@@ -17,7 +17,7 @@
 import yewdock.desk.ModelBox;
 
 /**
- * Reads lists of servers. An entry that can't be used is logged and skipped; the rest of its list still counts,
+ * Reads lists of servers. An entry that can't be used is logged and skipped; the rest of its list counts,
  * and so does the entry's word that its server drains or is gone: that needs no more than an id and a state.
  */
 public final class BoxLists {
--- /dev/null
+++ b/src/test/java/yewdock/OlderListsTest.java
@@ -0,0 +1,157 @@
+package yewdock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import umberspread.Routing;
+import umberspread.Routing.Lifecycle;
+import umberspread.Routing.ListKind;
+import umberspread.Routing.Replica;
+import yewdock.desk.Bounds;
+import yewdock.desk.BoxList;
+import yewdock.desk.Counters;
+import yewdock.desk.Desk;
+import yewdock.desk.Effect;
+import yewdock.desk.Event;
+import yewdock.desk.ModelBox;
+import yewdock.desk.Terms;
+
+/** Answers with lower versions than the list that is held: a replica that lags, or a service begun anew. */
+class OlderListsTest {
+    private static final long SECOND = 1_000_000;
+    private static final long STEP = 10_000;
+    private static final ModelBox FIRST = server(1, Lifecycle.READY);
+    private static final ModelBox SECOND_SERVER = server(2, Lifecycle.READY);
+
+    private final List<String> states = new ArrayList<>(List.of("", "", ""));
+    private Desk desk;
+    private Effect.AskList open;
+    private long now = 1000 * SECOND;
+    private int calls;
+
+    /** Asks for the list from the first moment on and notes each server's state. */
+    private final class Module extends QuietModule {
+        private final Routing.Actions actions;
+
+        Module(Routing.Actions actions) {
+            this.actions = actions;
+        }
+
+        @Override
+        public void started(long time) {
+            actions.followList();
+        }
+
+        @Override
+        public void listReceived(long time, ListKind kind, List<Replica> entries) {
+            if (kind == ListKind.FULL || kind == ListKind.CACHED) {
+                states.replaceAll(state -> "GONE");
+            }
+            entries.forEach(r -> states.set((int) r.id(), r.lifecycle().name()));
+        }
+    }
+
+    private static ModelBox server(long id, Lifecycle state) {
+        return new ModelBox("s-" + id, "127.0.0.1:900" + id, new Replica(id, 0, 0, 1, 1, state, 0));
+    }
+
+    private void start(boolean pushed, long version, ModelBox... known) {
+        desk = new Desk(new Terms(250_000, 30 * SECOND, pushed, SECOND / 2, 10 * SECOND, true, 4,
+                List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(), Module::new);
+        happens(new Event.Started(new BoxList(version, true, List.of(known)), "127.0.0.1:8500"));
+        answer(new BoxList(version, false, List.of()));
+    }
+
+    private void happens(Event event) {
+        for (Effect effect : desk.reduce(event, now)) {
+            if (effect instanceof Effect.AskList call) {
+                open = call;
+                calls++;
+            } else if (effect instanceof Effect.HangUpList) {
+                open = null;
+            }
+        }
+    }
+
+    private void answer(BoxList list) {
+        open = null;
+        happens(new Event.ListCame(list));
+    }
+
+    /** Lets time pass; each call made meanwhile gets this answer at once. */
+    private void pass(long micros, BoxList each) {
+        for (long until = now + micros; now < until;) {
+            now += STEP;
+            if (desk.nextDue() <= now) {
+                happens(new Event.Tick());
+            }
+            if (open != null && open.since() < 0) {
+                answer(each);
+            }
+        }
+    }
+
+    /** The service has none of the versions up to 40 any more: a change since 40 would never come. */
+    @Test
+    void afterALowerVersionTheWholeListIsAskedForAtOnceAndADrainInItKept() {
+        for (boolean pushed : new boolean[] {false, true}) {
+            start(pushed, 40, FIRST, SECOND_SERVER);
+            answer(new BoxList(3, false, List.of()));
+            assertEquals(-1, open.since());
+            answer(new BoxList(3, true, List.of(server(1, Lifecycle.DRAINING), SECOND_SERVER)));
+            assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
+        }
+    }
+
+    @Test
+    void aServerThatAnOlderWholeListDoesNotNameGetsNothingNew() {
+        start(false, 40, FIRST, SECOND_SERVER);
+        answer(new BoxList(3, true, List.of(SECOND_SERVER)));
+        assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
+    }
+
+    @Test
+    void aReplicaThatLagsPutsNothingBack() {
+        for (boolean full : new boolean[] {false, true}) {
+            start(false, 40, FIRST, SECOND_SERVER);
+            answer(new BoxList(41, false, List.of(server(1, Lifecycle.DRAINING))));
+            happens(new Event.ListFailed());
+            answer(new BoxList(39, full, List.of(FIRST, SECOND_SERVER)));
+            assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
+            pass(SECOND / 2, new BoxList(39, true, List.of(FIRST, SECOND_SERVER)));
+            assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
+            pass(3 * SECOND, new BoxList(41, true, List.of(server(1, Lifecycle.DRAINING), SECOND_SERVER)));
+            assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
+            assertTrue(open.since() == 41, "the watch goes on from " + open.since());
+        }
+    }
+
+    @Test
+    void aServiceThatCountsAnewIsBelievedSoonAndFollowed() {
+        for (boolean pushed : new boolean[] {false, true}) {
+            start(pushed, 40, FIRST);
+            int before = calls;
+            answer(new BoxList(3, false, List.of()));
+            pass(3 * SECOND / 2, new BoxList(4, true, List.of(FIRST, SECOND_SERVER)));
+            assertEquals(List.of("READY", "READY"), states.subList(1, 3));
+            assertEquals(4, open.since());
+            assertTrue(calls - before < 15, "calls: " + (calls - before));
+            answer(new BoxList(5, false, List.of(server(2, Lifecycle.DRAINING))));
+            assertEquals(List.of("READY", "DRAINING"), states.subList(1, 3));
+        }
+    }
+
+    /** Versions of one address mean nothing at another. */
+    @Test
+    void aLowerVersionAtAnotherAddressIsBelievedAtOnce() {
+        start(false, 40, FIRST);
+        happens(new Event.ListMoved("127.0.0.1:8501"));
+        answer(new BoxList(2, true, List.of(SECOND_SERVER)));
+        assertEquals(List.of("GONE", "READY"), states.subList(1, 3));
+        assertFalse(open.since() < 0);
+    }
+}
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -48,6 +48,26 @@
         }
     }
 
+    /** Discovery loses its process and comes back counting from 1: its answers are about other versions. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void discoveryRestartsWithLowerVersions(boolean pushed) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 2, SERVERS)) {
+            pass(1_500);
+            for (int router = 0; router < 2; router++) {
+                rig.discovery(router).stop();
+            }
+            pass(300);
+            rig.setEverywhere(0, EndpointState.DRAINING);
+            rig.setEverywhere(1, EndpointState.REMOVED);
+            for (int router = 0; router < 2; router++) {
+                rig.discovery(router).restart(1);
+            }
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
+
     /** An entry that can't be used as a whole still says that its server drains. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -62,4 +82,22 @@
             assertKept(rig);
         }
     }
+
+    /** A watch fell silent, and the answer to the next call is from before the drain that was told. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anOlderListDoesNotPutADrainingServerBack(boolean pushed) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 2, SERVERS)) {
+            pass(1_500);
+            rig.setEverywhere(3, EndpointState.DRAINING);
+            pass(500);
+            for (int router = 0; router < 2; router++) {
+                rig.discovery(router).answerNextCallWithPresentList();
+            }
+            rig.setEverywhere(0, EndpointState.DRAINING);
+            rig.setEverywhere(1, EndpointState.REMOVED);
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
 }
