A router that stood still reads discovery's news before it sends anything

Seen: router processes stopped for 1.6 s (SIGSTOP) while a server drained sent requests that had waited to it when they went on.

Root cause: Sockets.loop took what came in the order in which MINA's thread had read it, clients' requests and due times beside the news, and acted on a list that was older than the grace without noticing.

--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -193,7 +193,8 @@
                     router = router(config, seed(), actions, left);
                     return router;
                 });
-        sockets = new Sockets(config.bounds().clients());
+        sockets = new Sockets(config.bounds().clients(),
+                config.settings().contract().drainGrace());
         front = new Front(config, desk, counters, sockets, sockets.clock(), this::log);
         front.tellOthersBy(this::tellOthers);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> sockets.leave(), "leave"));
--- a/src/main/java/yewdock/daemon/Serve.java
+++ b/src/main/java/yewdock/daemon/Serve.java
@@ -49,7 +49,8 @@
                 actions -> succession == null
                         ? new BoundedLoadRouter(config.settings(), config.seed(), actions)
                         : succession.router(actions));
-        Sockets sockets = new Sockets(config.bounds().clients());
+        Sockets sockets = new Sockets(config.bounds().clients(),
+                config.settings().contract().drainGrace());
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), log);
         // The JVM ends when its hooks have: this one holds it until nothing is owed.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -123,6 +123,11 @@
         return answers.kept() + lines.kept() + boxes.kept() + clients.count() + turn.kept() + others.kept();
     }
 
+    /** Whether discovery is asked for what a pause may have hidden: nothing new should go out before that. */
+    public boolean catchesUp() {
+        return watch.catchesUp();
+    }
+
     public boolean leaving() {
         return leaving;
     }
@@ -211,6 +216,8 @@
             marked(e.marks());
         } else if (event instanceof Event.Leased e) {
             turn.leased(e.until(), e.comeBack());
+        } else if (event instanceof Event.Resumed e) {
+            watch.resumed(e.stalled());
         } else if (event instanceof Event.ListBehind) {
             watch.askAnew();
         } else if (event instanceof Event.MarkChanged e) {
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -82,6 +82,10 @@
     record Leased(long until, long comeBack) implements Event {
     }
 
+    /** The process stood still for about so long, and did nothing meanwhile. */
+    record Resumed(long stalled) implements Event {
+    }
+
     /** Another router acts on a newer box list than this one. */
     record ListBehind() implements Event {
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -76,6 +76,7 @@
     private boolean asked;
     private int failures;
     private int silences;
+    private boolean catchesUp;
     private long newsAt = -SERIES;
 
     ListWatch(Terms terms, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
@@ -132,6 +133,27 @@
         ask(0);
     }
 
+    /**
+     * The process stood still. An answer that waited was read by now, but changes after it were not watched,
+     * and may count as told by now or before the next answer: after a long pause the list is asked for anew.
+     */
+    void resumed(long stalled) {
+        if (stalled >= longestPause()) {
+            counters.add("list.resumed");
+            catchesUp = true;
+            hangUpAndAsk();
+        }
+    }
+
+    /** Whether the call after a pause is still to be answered. */
+    boolean catchesUp() {
+        return catchesUp;
+    }
+
+    private long longestPause() {
+        return terms.listPushed() ? part() : Math.min(COUNTS_AS_TOLD - TURN, terms.askWithin() / 2);
+    }
+
     /** Another router has a newer list: the call that is out should have brought it, so it is broken. */
     void askAnew() {
         counters.add("list.behind");
@@ -244,6 +266,7 @@
         asked = false;
         failures = 0;
         silences = 0;
+        catchesUp = false;
         counters.add("list.answers");
     }
 
@@ -270,6 +293,7 @@
         boolean tell = asked || !terms.listPushed();
         out = false;
         asked = false;
+        catchesUp = false;
         counters.add("list.failures");
         if (terms.listPushed()) {
             askLater(Math.min(part(), AGAIN << Math.min(failures, 8)), 0);
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -205,7 +205,7 @@
 
     private void askList(Effect.AskList e) {
         if (list == null) {
-            list = wires.connect(e.address(), wire -> new ListSide(this, lists, e.address(), wire));
+            list = wires.connectToDiscovery(e.address(), wire -> new ListSide(this, lists, e.address(), wire));
         }
         list.ask(e.since(), e.longest());
     }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -13,14 +13,13 @@
 import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.AbstractSelector;
 import java.nio.channels.spi.SelectorProvider;
-import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -44,6 +43,7 @@
 import yewdock.platform.Side;
 import yewdock.platform.Wire;
 import yewdock.platform.Wires;
+import yewdock.sockets.TaskQueue.Task;
 
 /**
  * The transport: MINA's sockets, and the one thread on which the front and the desk run. What MINA's
@@ -62,8 +62,15 @@
     private static final int LARGEST_READ = 16 * 1024;
     private static final long LAST_WRITES_MILLIS = 300;
     private static final long LONGEST_SLEEP = 1_000_000;
-
-    private final BlockingDeque<Task> queue = new LinkedBlockingDeque<>();
+    /** After so long without a look at what has come, the sockets are read before anything else is done. */
+    private static final long LONGEST_WITHOUT_NEWS = 100_000;
+    private static final long READ_MILLIS = 10;
+    /** Writing out takes less, also on a machine that is busy. */
+    private static final long LEAST_ATTEMPTS_WAIT = 50_000;
+    /** For so long nothing else is done while discovery is asked for what a pause may have hidden. */
+    private static final long CATCH_UP = 250_000;
+
+    private final TaskQueue queue = new TaskQueue();
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "mina");
         thread.setDaemon(true);
@@ -71,17 +78,20 @@
     });
     private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector;
-    private final NioProcessor processor;
+    private final WholeReads processor;
     private final Lingering lingering;
     private final Room room;
     private final Semaphore queueRoom = new Semaphore(MOST_QUEUED);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Clock clock = new Clock();
+    private final long attemptsWait;
     private volatile Front front;
+    /** When the task that is being done was begun: all news that was there before has been read. */
+    private long decidingSince;
     private boolean stopped;
 
-    private record Task(SessionWire wire, Runnable work) {
-    }
+    /** Whom a connection leads to. */
+    private enum Purpose { CLIENT, SERVER, DISCOVERY }
 
     private static final class Room extends Semaphore {
         private static final long serialVersionUID = 1;
@@ -95,17 +105,21 @@
         }
     }
 
-    /** Sockets for so many clients at once. */
-    public Sockets(int mostClients) {
-        this(mostClients, Lingering.SECONDS);
+    /**
+     * Sockets for so many clients at once. An attempt of which nothing has been written within half of the
+     * time in which drains must be kept is not begun: the process stood still since it was decided on.
+     */
+    public Sockets(int mostClients, long drainGrace) {
+        this(mostClients, drainGrace, Lingering.SECONDS);
     }
 
     /** The same, lingering for so long. */
-    Sockets(int mostClients, int lingerSeconds) {
+    Sockets(int mostClients, long drainGrace, int lingerSeconds) {
+        attemptsWait = Math.max(LEAST_ATTEMPTS_WAIT, drainGrace / 2);
         lingering = new Lingering(lingerSeconds);
         room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
-        processor = new WholeReads(threads);
+        processor = new WholeReads(threads, this::tooLate);
         acceptor = new BoundedAcceptor(threads, processor, room, wire -> front.accept(wire));
         connector = new NioSocketConnector(threads, processor);
         connector.setHandler(new Handler());
@@ -208,10 +222,17 @@
     }
 
     private void loop(Desk desk) {
+        decidingSince = clock.getAsLong();
         while (!stopped) {
-            long wait = Math.min(desk.nextDue() - clock.getAsLong(), LONGEST_SLEEP);
+            long wait = Math.max(0, Math.min(desk.nextDue() - clock.getAsLong(), LONGEST_SLEEP));
             try {
-                Task task = wait > 0 ? queue.poll(wait, TimeUnit.MICROSECONDS) : queue.poll();
+                Task task = queue.poll(wait);
+                // counted from before the last task: the process may have stood still in the midst of it
+                long unread = clock.getAsLong() - decidingSince;
+                if (unread > LONGEST_WITHOUT_NEWS) {
+                    readNewsFirst(desk, unread - wait);
+                }
+                decidingSince = clock.getAsLong();
                 if (task != null) {
                     run(task);
                 }
@@ -226,14 +247,34 @@
         ended.countDown();
     }
 
+    /**
+     * The process may have stood still, and news of discovery wait in a socket beside clients' requests and
+     * times that have come: it is read before any of these are acted upon. After a pause in which discovery
+     * may have had more to tell than one answer holds, it is asked anew first.
+     */
+    private void readNewsFirst(Desk desk, long stalled) throws InterruptedException {
+        processor.awaitRead(READ_MILLIS);
+        for (Task news = queue.pollUrgent(); news != null; news = queue.pollUrgent()) {
+            run(news);
+        }
+        run(new Task(null, () -> front.happened(new Event.Resumed(stalled))));
+        long until = clock.getAsLong() + CATCH_UP;
+        for (long left = CATCH_UP; desk.catchesUp() && left > 0; left = until - clock.getAsLong()) {
+            Task news = queue.pollUrgent(left);
+            if (news != null) {
+                run(news);
+            }
+        }
+    }
+
     /** One event's fault must not stop the others. */
     private void run(Task task) {
         try {
-            task.work.run();
+            task.work().run();
         } catch (RuntimeException | Error e) {
             Logger.error(e, "fault in an event");
-            if (task.wire != null) {
-                task.wire.close();
+            if (task.wire() != null) {
+                task.wire().close();
             }
         }
     }
@@ -409,7 +450,15 @@
 
     @Override
     public <S extends Side> S connect(String address, Function<Wire, S> makeSide) {
-        SessionWire wire = new SessionWire();
+        return connect(address, makeSide, new SessionWire(Purpose.SERVER));
+    }
+
+    @Override
+    public <S extends Side> S connectToDiscovery(String address, Function<Wire, S> makeSide) {
+        return connect(address, makeSide, new SessionWire(Purpose.DISCOVERY));
+    }
+
+    private <S extends Side> S connect(String address, Function<Wire, S> makeSide, SessionWire wire) {
         S side = makeSide.apply(wire);
         wire.side = side;
         InetSocketAddress to = Addresses.of(address);
@@ -420,14 +469,40 @@
         wire.connecting = future;
         future.addListener(done -> {
             if (!future.isConnected()) {
-                queue.add(new Task(wire, wire::down));
+                add(new Task(wire, wire::down));
             }
         });
         return side;
     }
 
+    private boolean tooLate(IoSession session) {
+        SessionWire wire = (SessionWire) session.getAttribute(WIRE);
+        return wire != null && wire.purpose == Purpose.SERVER
+                && clock.getAsLong() - wire.decidedAt > attemptsWait;
+    }
+
+    private void add(Task task) {
+        if (task.wire().purpose == Purpose.DISCOVERY) {
+            queue.addUrgent(task);
+        } else {
+            queue.add(task);
+        }
+    }
+
+    /** Has the dispatcher's thread do this for the connection's side, unless it is down by then. */
+    private void later(SessionWire wire, Consumer<Side> work) {
+        add(new Task(wire, () -> {
+            if (!wire.isDown && wire.side != null) {
+                work.accept(wire.side);
+            }
+        }));
+    }
+
     /** A connection of MINA's. Its calls come from the desk's thread, its session from MINA's. */
-    private final class SessionWire implements Wire {
+    final class SessionWire implements Wire {
+        private final Purpose purpose;
+        /** When what is written to it was decided on, by what was known then. */
+        private volatile long decidedAt;
         private volatile IoSession session;
         private ConnectFuture connecting;
         private Side side;
@@ -438,8 +513,13 @@
         private volatile boolean deaf;
         private int dropped;
 
+        SessionWire(Purpose purpose) {
+            this.purpose = purpose;
+        }
+
         @Override
         public void write(ByteBuffer bytes) {
+            decidedAt = decidingSince;
             last = session.write(IoBuffer.wrap(bytes));
         }
 
@@ -451,7 +531,7 @@
                 connecting.cancel();
             } else {
                 // The connecting itself failed in some unforeseen way: its side must still hear of the end.
-                queue.add(new Task(this, this::down));
+                add(new Task(this, this::down));
             }
         }
 
@@ -509,7 +589,7 @@
         @Override
         public void sessionCreated(IoSession session) {
             if (session.getAttribute(WIRE) == null) {
-                SessionWire wire = new SessionWire();
+                SessionWire wire = new SessionWire(Purpose.CLIENT);
                 wire.session = session;
                 session.setAttribute(WIRE, wire);
                 session.getCloseFuture().addListener(closed -> room.release());
@@ -523,12 +603,7 @@
 
         @Override
         public void sessionOpened(IoSession session) {
-            SessionWire wire = wire(session);
-            queue.add(new Task(wire, () -> {
-                if (wire.side != null) {
-                    wire.side.up();
-                }
-            }));
+            later(wire(session), Side::up);
         }
 
         @Override
@@ -543,6 +618,10 @@
                 }
                 return;
             }
+            if (wire.purpose == Purpose.DISCOVERY) {
+                later(wire, side -> side.received(bytes));
+                return;
+            }
             queueRoom.acquireUninterruptibly(size);
             queue.add(new Task(wire, () -> {
                 queueRoom.release(size);
@@ -554,24 +633,14 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            SessionWire wire = wire(session);
             int bytes = ((IoBuffer) message).limit();
-            queue.add(new Task(wire, () -> {
-                if (!wire.isDown) {
-                    wire.side.written(bytes);
-                }
-            }));
+            later(wire(session), side -> side.written(bytes));
         }
 
         /** Only a connection that lingers has an idle time, and one that operators made. */
         @Override
         public void sessionIdle(IoSession session, IdleStatus status) {
-            SessionWire wire = wire(session);
-            queue.add(new Task(wire, () -> {
-                if (!wire.isDown) {
-                    wire.side.idle();
-                }
-            }));
+            later(wire(session), Side::idle);
         }
 
         /**
@@ -586,7 +655,7 @@
             if (room == Sockets.this.room) {
                 queue.addFirst(end);
             } else {
-                queue.add(end);
+                add(end);
             }
         }
 
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -83,6 +83,50 @@
         }
     }
 
+    /** Processes stand still for longer than the grace while servers drain, and clients go on writing. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aPausedRouterReadsItsNewsBeforeItSends(boolean pushed) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 3, SERVERS)) {
+            pass(1_500);
+            for (int round = 0; round < 3; round++) {
+                for (int router = 0; router < 3; router++) {
+                    rig.router(router).signal("STOP");
+                }
+                pass(100);
+                rig.setEverywhere(round, EndpointState.DRAINING);
+                pass(GRACE_MILLIS + 1_000);
+                for (int router = 0; router < 3; router++) {
+                    rig.router(router).signal("CONT");
+                }
+                pass(1_500);
+            }
+            assertKept(rig);
+        }
+    }
+
+    /** What changes after the news that ended its watch is not told to a router that stands still. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aPausedRouterAsksForWhatItsWatchDidNotBring(boolean pushed) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 3, SERVERS)) {
+            pass(1_500);
+            for (int router = 0; router < 3; router++) {
+                rig.router(router).signal("STOP");
+            }
+            pass(100);
+            rig.setEverywhere(0, EndpointState.DRAINING);
+            pass(300);
+            rig.setEverywhere(1, EndpointState.DRAINING);
+            pass(pushed ? GRACE_MILLIS + 500 : 6_000 + GRACE_MILLIS + 500);
+            for (int router = 0; router < 3; router++) {
+                rig.router(router).signal("CONT");
+            }
+            pass(1_500);
+            assertKept(rig);
+        }
+    }
+
     /** A watch fell silent, and the answer to the next call is from before the drain that was told. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/src/test/java/yewdock/sockets/ForeignSettingsTest.java
+++ b/src/test/java/yewdock/sockets/ForeignSettingsTest.java
@@ -60,7 +60,8 @@
         List<String> log = new ArrayList<>();
         Config config = Config.read(text, log::add);
         Counters counters = new Counters();
-        Sockets sockets = new Sockets(config.bounds().clients());
+        Sockets sockets = new Sockets(config.bounds().clients(),
+                config.settings().contract().drainGrace());
         Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
                 actions -> new BoundedLoadRouter(config.settings(), config.seed(), actions));
         return new Running(Listening.start(sockets,
--- a/src/test/java/yewdock/sockets/GoneClientTest.java
+++ b/src/test/java/yewdock/sockets/GoneClientTest.java
@@ -33,7 +33,7 @@
     private static final int BEHIND = 300 * 1024;
 
     private final Counters counters = new Counters();
-    private final Sockets sockets = new Sockets(CLIENTS);
+    private final Sockets sockets = new Sockets(CLIENTS, 1_000_000);
     private ServerSocket silentServer;
     private Listening listening;
 
--- a/src/test/java/yewdock/sockets/LetGoTest.java
+++ b/src/test/java/yewdock/sockets/LetGoTest.java
@@ -31,7 +31,7 @@
         Counters counters = new Counters();
         Desk desk = new Desk(Terms.of(config.settings(), config.keepalive()), config.bounds(), counters,
                 actions -> new GenerationRouter(config.settings(), 1, actions));
-        Sockets sockets = new Sockets(0);
+        Sockets sockets = new Sockets(0, 1_000_000);
         Front front = new Front(config, desk, counters, sockets, sockets.clock(), line -> { });
         Listening listening = Listening.start(sockets, front, desk);
         List<Socket> clients = new ArrayList<>();
--- a/src/test/java/yewdock/sockets/LingeringTest.java
+++ b/src/test/java/yewdock/sockets/LingeringTest.java
@@ -32,7 +32,7 @@
     private Listening listening;
 
     private void serve(int seconds) throws Exception {
-        sockets = new Sockets(0, seconds);
+        sockets = new Sockets(0, 1_000_000, seconds);
         listening = Listening.start(sockets,
                 Files.readString(Path.of("src/test/resources/exchanges/config.json"))
                 .replaceFirst("\\{", "{\"limits\":{\"sockets\":1024,\"memory_mb\":160},"));
--- a/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
+++ b/src/test/java/yewdock/sockets/ResetBehindBytesTest.java
@@ -22,7 +22,7 @@
 class ResetBehindBytesTest {
     private static final String ANSWER = "data: [DONE]\n\n";
 
-    private final Sockets sockets = new Sockets(4);
+    private final Sockets sockets = new Sockets(4, 1_000_000);
     private Listening listening;
 
     /** What comes over the connection, and then its end. */
