Failed calls to discovery are made anew soon enough that five in a row keep a drain

Discovery ran all the while. Ruled out: calls that hang; that sequence has none.

Root cause: BoundedLoadRouter.listReceived doubled the wait after a failure up to 2 s and drew it from half of that to one and a half times: 0.75, 1.5, 3 and 3 s, together more than the 6 s after which a change counts as told whatever call failed. The waits were chosen for an outage, after which the clock starts anew, and not for a service that can be reached and fails single calls.

Change: the longest wait is 1 s, drawn from half of it up: 0.5, 1, 1, 1, 1 s at most. While discovery is down a router calls about every 0.75 s, 2 s before.

--- a/src/main/java/umberspread/BoundedLoadRouter.java
+++ b/src/main/java/umberspread/BoundedLoadRouter.java
@@ -35,10 +35,10 @@
     private static final double MOST_WEIGHT = 8;
     /** First calls to discovery spread over this part of the time in which one is due: calls wait in turn. */
     private static final int ASK_SPREAD = 10;
-    /** A failed call is repeated after this part of that time, doubled at each failure up to half of it. */
+    /** A failed call is repeated after up to this part of that time, doubled at each failure. */
     private static final int ASK_BACKOFF = 20;
-    /** What discovery has counts as told so long after, so a failed call is repeated in half of it. */
-    private static final long TOLD_WITHIN = 6_000_000;
+    /** What discovery has counts as told 6 s on, also where calls have failed in a row: five fit in. */
+    private static final long LONGEST_BACKOFF = 1_000_000;
     /** A held request looks for a replica again after this part of its client's patience. */
     private static final int HOLD_CHECKS = 8;
     /** A held request is answered when this part of the patience is left: its client can still retry. */
@@ -355,9 +355,9 @@
         if (kind == ListKind.FAILED) {
             calling = false;
             following = false;
-            long wait = Math.min(TOLD_WITHIN / 3,
+            long wait = Math.min(LONGEST_BACKOFF,
                     settings.contract().askWithin() / ASK_BACKOFF << Math.min(failedCalls++, 3));
-            callDiscoveryAt(now + wait / 2 + jittered(wait));
+            callDiscoveryAt(now + wait / 2 + jittered(wait / 2));
             return;
         }
         if (kind != ListKind.CACHED) {
--- a/src/test/java/yewdock/DiscoveryTermTest.java
+++ b/src/test/java/yewdock/DiscoveryTermTest.java
@@ -160,6 +160,33 @@
         }
     }
 
+    /**
+     * The watch breaks as the drain comes, and up to four calls after it fail, though the service could be
+     * reached all the while: what counts as told 6 s after the drain is known a grace later. Of calls that
+     * nobody answers a third would take all of that time by itself.
+     */
+    @Test
+    void fourFailuresOfAnyKindInARowKeepADrainFromTheFirstOn() {
+        for (int length = 1; length <= 4; length++) {
+            for (int mix = 0; mix < 1 << length; mix++) {
+                for (int seed = 0; seed < MANY_SEEDS && Integer.bitCount(mix) <= 2; seed++) {
+                    Rig each = new Rig(seed);
+                    while (each.open == null || each.open.longest() == 0) {
+                        each.step();
+                    }
+                    for (int i = 0; i < length; i++) {
+                        each.failures.add(kind(mix, i));
+                    }
+                    each.drained = true;
+                    long had = each.time;
+                    each.open = null;
+                    each.happens(new Event.ListFailed());
+                    each.learns(had, length + " failures, mix " + mix + ", seed " + seed);
+                }
+            }
+        }
+    }
+
     /** A new address fails the first calls; what the list there says counts from when it could be reached. */
     @Test
     void aListThatMovedAndFailsIsStillToldInTime() {
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -127,6 +127,31 @@
         }
     }
 
+    /** Several calls in a row fail, each in another way, and a server drains as the first of them fails. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void callsThatFailInARowKeepADrain(boolean pushed) throws Exception {
+        List<List<CallFault>> sequences = pushed ? List.of(
+                List.of(CallFault.RESET, CallFault.UNAVAILABLE, CallFault.HALF_ANSWERED),
+                List.of(CallFault.WRONG_LENGTH),
+                List.of(CallFault.HEAD_ONLY),
+                List.of(CallFault.SILENT)) : List.of(
+                List.of(CallFault.RESET, CallFault.UNAVAILABLE, CallFault.HALF_ANSWERED, CallFault.MALFORMED),
+                List.of(CallFault.MALFORMED, CallFault.WRONG_LENGTH, CallFault.RESET),
+                List.of(CallFault.HEAD_ONLY, CallFault.UNAVAILABLE, CallFault.UNAVAILABLE),
+                List.of(CallFault.SILENT, CallFault.RESET));
+        try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, sequences.size(), SERVERS)) {
+            pass(1_500);
+            for (int router = 0; router < sequences.size(); router++) {
+                rig.discovery(router).failNextCalls(sequences.get(router));
+                rig.discovery(router).resetOpenWatches();
+            }
+            rig.setEverywhere(0, EndpointState.DRAINING);
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
+
     /** A watch fell silent, and the answer to the next call is from before the drain that was told. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
