A configuration that is half written when SIGHUP comes is read once it is whole

Seen: on the untouched program, discovery moves, and SIGHUP comes between the two halves of the new configuration's writing: DrainUnderFaultsTest.aConfigurationThatIsHalfWrittenAtSighupIsReadOnceItIsWhole, 190 attempts of 3487 at a server that the new discovery had drained. The log: "the new configuration can't be read, the old one stays: ... Unterminated string". Ruled out: a missed signal; the file was read, once.

Root cause: Serve read the file at the signal and nothing looked at it again, so that a file not yet whole left the router with the discovery that had been left behind for ever. The same mistake: a SIGHUP that came after the configuration had been read and before its handler stood was lost, or ended the process; and the daemon's keeper passed the signal on once.

Change: ConfigurationFile is made before the file is read and remembers what it is told until there is a reader; where the reader fails, the file is looked at every 0.25 s until it could be read, as it is all the time where SIGHUP is ignored. The keeper uses the same.

Tests: the above, ConfigurationFileTest. A SIGHUP within the JVM's own start, before any of our code, still ends the process; that is the system's default.

--- a/src/main/java/yewdock/daemon/ConfigurationFile.java
+++ b/src/main/java/yewdock/daemon/ConfigurationFile.java
@@ -5,14 +5,23 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileTime;
+import java.util.function.BooleanSupplier;
 import yewdock.sockets.Signals;
 
 /**
- * Tells when a configuration is to be read again: at SIGHUP. A process that was started with SIGHUP ignored
- * can't take it, and would follow a list that has moved away for ever: it looks at the file instead.
+ * The configuration's file, which is read again at SIGHUP. A process that was started with SIGHUP ignored can't
+ * take it, and would follow a list that has moved away for ever: it looks at the file instead. So does one that
+ * could not read the file when it was told to, for whoever wrote it may not have been done: until it is read.
  */
 final class ConfigurationFile {
-    private static final long LOOK_MILLIS = 500;
+    private static final long LOOK_MILLIS = 250;
+
+    private final Path file;
+    private final boolean takesSignal;
+    /** Reads the file and tells whether that could be done; null until there is something to reconfigure. */
+    private BooleanSupplier reader;
+    private boolean due;
+    private boolean looking;
 
     /** What tells one writing of the file from another. */
     private record Look(FileTime written, long size, Object key) {
@@ -28,27 +37,56 @@
         }
     }
 
-    private ConfigurationFile() {
+    private ConfigurationFile(Path file) {
+        this.file = file;
+        takesSignal = Signals.onHangUp(this::readAgain);
+    }
+
+    /** This file; SIGHUP is taken from now on, and remembered until there is a reader. */
+    static ConfigurationFile at(Path file) {
+        return new ConfigurationFile(file);
+    }
+
+    /** Whether SIGHUP tells when the file is to be read, or the file is looked at. */
+    boolean takesSignal() {
+        return takesSignal;
     }
 
-    /**
-     * Runs the task, on a thread of its own, whenever the file is to be read again; returns what the operator
-     * should know about how that is told, or nothing if it is by SIGHUP.
-     */
-    static String whenChanged(Path file, Runnable task) {
-        if (Signals.onHangUp(task)) {
-            return "";
+    /** Has the file read by this from now on, each time it is to be read, by one thread at a time. */
+    synchronized void readBy(BooleanSupplier newReader) {
+        reader = newReader;
+        if (due) {
+            readAgain();
+        }
+        if (!takesSignal) {
+            lookFrom(Look.at(file));
         }
-        Look first = Look.at(file);
-        Thread looks = new Thread(() -> look(file, first, task), "configuration");
+    }
+
+    /** The file is to be read again. */
+    synchronized void readAgain() {
+        due = reader == null;
+        if (due) {
+            return;
+        }
+        Look before = Look.at(file);
+        if (!reader.getAsBoolean()) {
+            lookFrom(before);
+        }
+    }
+
+    private synchronized void lookFrom(Look taken) {
+        if (looking) {
+            return;
+        }
+        looking = true;
+        Thread looks = new Thread(() -> look(taken), "configuration");
         looks.setDaemon(true);
         looks.start();
-        return "SIGHUP was ignored when this process was started: " + file
-                + " is read again whenever it has changed";
     }
 
     /** A file that two looks in a row find alike is no longer being written. */
-    private static void look(Path file, Look first, Runnable task) {
+    private void look(Look first) {
         Look taken = first;
         Look last = first;
         try {
@@ -57,7 +95,9 @@
                 Look now = Look.at(file);
                 if (now.equals(last) && !now.equals(taken)) {
                     taken = now;
-                    task.run();
+                    if (readChanged()) {
+                        return;
+                    }
                 }
                 last = now;
             }
@@ -65,4 +105,10 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Tells whether the file needs no more looks. */
+    private synchronized boolean readChanged() {
+        looking = !(reader.getAsBoolean() && takesSignal);
+        return !looking;
+    }
 }
--- a/src/main/java/yewdock/daemon/Keeper.java
+++ b/src/main/java/yewdock/daemon/Keeper.java
@@ -97,10 +97,14 @@
         Thread accepting = new Thread(this::acceptControl, "control");
         accepting.setDaemon(true);
         accepting.start();
-        String otherwise = ConfigurationFile.whenChanged(settings.daemon().config(),
-                () -> events.add(new KeeperEvent.HungUp()));
-        if (!otherwise.isEmpty()) {
-            Say.warn("configuration.looked_at", "why", otherwise);
+        ConfigurationFile configurationFile = ConfigurationFile.at(settings.daemon().config());
+        configurationFile.readBy(() -> {
+            events.add(new KeeperEvent.HungUp());
+            return Serve.isReadable(settings.daemon().config());
+        });
+        if (!configurationFile.takesSignal()) {
+            Say.warn("configuration.looked_at", "why", "SIGHUP was ignored when this process was started",
+                    "file", settings.daemon().config());
         }
         Thread leave = new Thread(() -> {
             events.add(new KeeperEvent.Leave());
--- a/src/main/java/yewdock/daemon/Serve.java
+++ b/src/main/java/yewdock/daemon/Serve.java
@@ -29,6 +29,12 @@
     /** Serves as the configuration in this file says, to the end; returns the exit code. */
     public static int run(String file, Maker maker) {
         Consumer<String> log = line -> Logger.info("{}", line);
+        if (file == null) {
+            Logger.error("the configuration can't be read: PROXY_CONFIG is not set");
+            return 1;
+        }
+        // before all else: a SIGHUP that comes meanwhile would end the process
+        ConfigurationFile configurationFile = ConfigurationFile.at(Path.of(file));
         Config config;
         try {
             config = read(file, log);
@@ -58,19 +64,10 @@
             Logger.info("counters at exit:\n{}", counters);
             shutLogger();
         }, "leave"));
-        // One after the other: of two SIGHUPs, the later one's file must come out on top.
-        Object turn = new Object();
-        String otherwise = ConfigurationFile.whenChanged(Path.of(file), () -> {
-            synchronized (turn) {
-                try {
-                    sockets.reconfigure(read(file, log));
-                } catch (IOException | IllegalArgumentException e) {
-                    Logger.warn("the new configuration can't be read, the old one stays: {}", e.toString());
-                }
-            }
-        });
-        if (!otherwise.isEmpty()) {
-            Logger.warn("{}", otherwise);
+        configurationFile.readBy(() -> reconfigure(sockets, file, log));
+        if (!configurationFile.takesSignal()) {
+            Logger.warn("SIGHUP was ignored when this process was started: {} is read again whenever it has "
+                    + "changed", file);
         }
         try {
             if (succession != null) {
@@ -94,6 +91,26 @@
         return 0;
     }
 
+    private static boolean reconfigure(Sockets sockets, String file, Consumer<String> log) {
+        try {
+            sockets.reconfigure(read(file, log));
+            return true;
+        } catch (IOException | IllegalArgumentException e) {
+            Logger.warn("the new configuration can't be read, the old one stays: {}", e.toString());
+            return false;
+        }
+    }
+
+    /** Whether a configuration can be read from this file. */
+    static boolean isReadable(Path file) {
+        try {
+            read(file.toString(), line -> { });
+            return true;
+        } catch (IOException | IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     /** The configuration in this file; null where none was named. */
     static Config read(String file, Consumer<String> log) throws IOException {
         if (file == null) {
--- /dev/null
+++ b/src/test/java/yewdock/daemon/ConfigurationFileTest.java
@@ -0,0 +1,61 @@
+package yewdock.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** When a configuration is read: as told, as soon as there is a reader, and again until it could be read. */
+@Timeout(60)
+class ConfigurationFileTest {
+    private static final String WHOLE = "{}";
+
+    @TempDir
+    private Path folder;
+    private Path file;
+    private final BlockingQueue<String> read = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void write() throws IOException {
+        file = Files.writeString(folder.resolve("config.json"), WHOLE);
+    }
+
+    private boolean read() {
+        try {
+            String text = Files.readString(file);
+            read.add(text);
+            return text.equals(WHOLE);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void whatItIsToldBeforeThereIsAReaderIsDoneOnceThereIs() {
+        ConfigurationFile configuration = ConfigurationFile.at(file);
+        configuration.readAgain();
+        assertNull(read.poll());
+        configuration.readBy(this::read);
+        assertEquals(WHOLE, read.poll());
+    }
+
+    @Test
+    void aFileThatIsHalfWrittenIsReadAgainOnceItIsWhole() throws Exception {
+        ConfigurationFile configuration = ConfigurationFile.at(file);
+        configuration.readBy(this::read);
+        Files.writeString(file, "{");
+        configuration.readAgain();
+        assertEquals("{", read.poll());
+        Files.writeString(file, WHOLE);
+        assertEquals(WHOLE, read.poll(30, TimeUnit.SECONDS));
+    }
+}
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -169,4 +170,24 @@
             assertKept(rig);
         }
     }
+
+    /** SIGHUP comes while the new configuration is half written, and discovery has moved. */
+    @Test
+    void aConfigurationThatIsHalfWrittenAtSighupIsReadOnceItIsWhole() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 1, SERVERS);
+                ScriptedDiscovery next = new ScriptedDiscovery(0, rig.judge())) {
+            pass(1_500);
+            for (int i = 0; i < SERVERS; i++) {
+                next.set(rig.server(i).name(), rig.server(i).address(), EndpointState.UP);
+            }
+            String moved = rig.configuration(next.address(), 1);
+            Files.writeString(rig.router(0).configuration(), moved.substring(0, moved.length() / 2));
+            rig.router(0).signal("HUP");
+            pass(500);
+            Files.writeString(rig.router(0).configuration(), moved);
+            next.set(rig.server(0).name(), rig.server(0).address(), EndpointState.DRAINING);
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
 }
