A list whose body ends with its connection is read; an answer that nobody asked for is not

Seen on reading related paths: an answer of discovery with neither length nor chunks, as HTTP/1.1 allows, was taken for a failed call however whole it was, so that a discovery which answers so would leave the router blind for ever. ListSide.down told only that the connection ended. And bytes on the connection between two calls were read as an answer.

Change: at the connection's end such a body is a list if it reads as one (JSON tells by itself whether it is whole); half of one is a failed call. Bytes that come while no call is out end the connection.

Test: exchange list-until-close, which fails without the change.

--- a/src/main/java/yewdock/http/MessageReader.java
+++ b/src/main/java/yewdock/http/MessageReader.java
@@ -59,6 +59,11 @@
         return state == State.DONE;
     }
 
+    /** Whether the message's body goes on to the end of its connection. */
+    public boolean endsWithConnection() {
+        return state == State.UNTIL_CLOSE;
+    }
+
     /** Makes ready for the next message. */
     public void next() {
         state = State.HEAD;
--- a/src/main/java/yewdock/platform/ListSide.java
+++ b/src/main/java/yewdock/platform/ListSide.java
@@ -13,6 +13,7 @@
 /** The connection on which the box list is watched. */
 final class ListSide implements Side, MessageReader.Sink {
     private static final int MOST_LIST = 4 << 20;
+    private static final int OK = 200;
 
     private final Front front;
     private final BoxLists lists;
@@ -57,6 +58,9 @@
     public void received(ByteBuffer bytes) {
         try {
             while (bytes.hasRemaining() && !gone) {
+                if (!out) {
+                    throw new BadMessageException(502, "an answer that nobody asked for");
+                }
                 reader.read(bytes);
                 if (reader.done()) {
                     reader.next();
@@ -70,7 +74,7 @@
     }
 
     private void whole() {
-        boolean good = head.status() == 200;
+        boolean good = head.status() == OK;
         BoxList list = good ? lists.read(body.toString(StandardCharsets.UTF_8)) : null;
         if (!head.keepsAlive()) {
             gone = true;
@@ -81,6 +85,19 @@
         front.happened(good ? new Event.ListCame(list) : new Event.ListFailed());
     }
 
+    /** What the end of the connection makes of the call: a body without a length is whole, if it reads so. */
+    private Event endOfConnection() {
+        if (!reader.endsWithConnection() || head.status() != OK) {
+            return new Event.ListFailed();
+        }
+        try {
+            return new Event.ListCame(lists.read(body.toString(StandardCharsets.UTF_8)));
+        } catch (JSONException e) {
+            front.log("the box list's answer is malformed: " + e.getMessage());
+            return new Event.ListFailed();
+        }
+    }
+
     @Override
     public void head(Head read) {
         head = read;
@@ -123,7 +140,7 @@
             gone = true;
             front.listClosed(this);
             if (out) {
-                front.happened(new Event.ListFailed());
+                front.happened(endOfConnection());
             }
         }
     }
