A list that moves between two calls is asked for where it is, not over the old connection

Seen: after SIGHUP had moved discovery, requests went to servers that the new discovery had drained or removed, for as long as they were watched: DrainUnderFaultsTest.aListThatMovesBetweenTwoCallsIsFollowed on the untouched program, two routers, four servers: changes in a row just before the SIGHUP: 699 attempts of 7023, "router 0 sent to s-a0 559 ms after it was told" a call refused with 503 just before it: 730 attempts of 7323 The routers' logs say "new configuration: the box list is at ..." with the new address. Ruled out: a SIGHUP or a file that was not read; a new discovery that fails, it was never called.

Root cause: Front.askList kept the connection to discovery without regard to where it leads, and ListWatch.move hangs up only where a call is out.

Change: a connection to another address than the call's is hung up on before the call is made.

--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -204,6 +204,11 @@
     }
 
     private void askList(Effect.AskList e) {
+        if (list != null && !list.leadsTo(e.address())) {
+            // between two calls the connection to where the list was before is still there
+            list.hangUp();
+            list = null;
+        }
         if (list == null) {
             list = wires.connectToDiscovery(e.address(), wire -> new ListSide(this, lists, e.address(), wire));
         }
--- a/src/main/java/yewdock/platform/ListSide.java
+++ b/src/main/java/yewdock/platform/ListSide.java
@@ -34,6 +34,11 @@
         this.wire = wire;
     }
 
+    /** Whether this is a connection to that address. */
+    boolean leadsTo(String address) {
+        return host.equals(address);
+    }
+
     void ask(long since, long wait) {
         String query = since < 0 ? "" : "?since=" + since + "&timeout_ms=" + wait / 1000;
         waiting = "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -171,6 +171,47 @@
         }
     }
 
+    /**
+     * Discovery moves while no call is out: changes in a row have just been told, or a call was refused. The
+     * connection to the old one is still there.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aListThatMovesBetweenTwoCallsIsFollowed(boolean refused) throws Exception {
+        try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 2, SERVERS);
+                ScriptedDiscovery first = new ScriptedDiscovery(0, rig.judge());
+                ScriptedDiscovery second = new ScriptedDiscovery(1, rig.judge())) {
+            List<ScriptedDiscovery> next = List.of(first, second);
+            pass(1_500);
+            for (int i = 0; i < SERVERS; i++) {
+                for (ScriptedDiscovery discovery : next) {
+                    discovery.set(rig.server(i).name(), rig.server(i).address(), EndpointState.UP);
+                }
+            }
+            if (refused) {
+                for (int router = 0; router < 2; router++) {
+                    rig.discovery(router).failNextCalls(List.of(CallFault.UNAVAILABLE));
+                }
+            }
+            rig.setEverywhere(3, EndpointState.DRAINING);
+            pass(50);
+            rig.setEverywhere(3, EndpointState.UP);
+            pass(100);
+            for (int router = 0; router < 2; router++) {
+                Files.writeString(rig.router(router).configuration(),
+                        rig.configuration(next.get(router).address(), 1));
+                rig.router(router).signal("HUP");
+            }
+            pass(200);
+            for (ScriptedDiscovery discovery : next) {
+                discovery.set(rig.server(0).name(), rig.server(0).address(), EndpointState.DRAINING);
+                discovery.set(rig.server(1).name(), rig.server(1).address(), EndpointState.REMOVED);
+            }
+            pass(UNTIL_JUDGED_MILLIS);
+            assertKept(rig);
+        }
+    }
+
     /** SIGHUP comes while the new configuration is half written, and discovery has moved. */
     @Test
     void aConfigurationThatIsHalfWrittenAtSighupIsReadOnceItIsWhole() throws Exception {
