News that comes in several reads is handled in its order also after a quiet time

Root cause: Sockets.loop takes a task and then sees that it has not looked for 0.1 s; Sockets.readNewsFirst does the news that waits before that task, also where the task is the first part of that news.

Change: a task that is news goes before the rest of it.

Test: ServeTest.aLongListIsReadInItsOrderAfterQuietTimes, which fails without the change.

--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -230,6 +230,10 @@
                 // counted from before the last task: the process may have stood still in the midst of it
                 long unread = clock.getAsLong() - decidingSince;
                 if (unread > LONGEST_WITHOUT_NEWS) {
+                    if (task != null && task.isNews()) {
+                        run(task);
+                        task = null;
+                    }
                     readNewsFirst(desk, unread - wait);
                 }
                 decidingSince = clock.getAsLong();
@@ -482,7 +486,7 @@
     }
 
     private void add(Task task) {
-        if (task.wire().purpose == Purpose.DISCOVERY) {
+        if (task.isNews()) {
             queue.addUrgent(task);
         } else {
             queue.add(task);
@@ -517,6 +521,10 @@
             this.purpose = purpose;
         }
 
+        boolean leadsToDiscovery() {
+            return purpose == Purpose.DISCOVERY;
+        }
+
         @Override
         public void write(ByteBuffer bytes) {
             decidedAt = decidingSince;
--- a/src/main/java/yewdock/sockets/TaskQueue.java
+++ b/src/main/java/yewdock/sockets/TaskQueue.java
@@ -14,6 +14,10 @@
 final class TaskQueue {
     /** Work to do; the wire is the connection that it concerns, or null. */
     record Task(Sockets.SessionWire wire, Runnable work) {
+        /** Whether it is about the connection to discovery. */
+        boolean isNews() {
+            return wire != null && wire.leadsToDiscovery();
+        }
     }
 
     /** Wakes whoever waits for the other tasks; the urgent ones were taken before it. */
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -16,6 +16,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -165,6 +167,46 @@
         }
     }
 
+    /** News comes in more reads than one, after times in which nothing happened: it is read in its order. */
+    @Test
+    void aLongListIsReadInItsOrderAfterQuietTimes() throws Exception {
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket list = new ServerSocket(0, 50, local)) {
+            list.setSoTimeout(20_000);
+            Process router = start(Files.readString(Exchange.FOLDER.resolve("config.json"))
+                    .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:8500", at(list)));
+            try (Socket call = list.accept()) {
+                call.setSoTimeout(20_000);
+                BufferedReader asked = new BufferedReader(new InputStreamReader(call.getInputStream(),
+                        StandardCharsets.US_ASCII));
+                assertEquals("GET /v1/endpoints?since=7&timeout_ms=0 HTTP/1.1", readCall(asked));
+                for (int version = 8; version < 14; version++) {
+                    // longer than a tenth of a second, after which the sockets are read before all else
+                    Thread.sleep(250);
+                    String servers = IntStream.range(100, 400)
+                            .mapToObj(i -> "{\"id\":\"s-" + i + "\",\"state\":\"removed\"}")
+                            .collect(Collectors.joining(","));
+                    String body = "{\"version\":" + version + ",\"full\":false,\"servers\":[" + servers + "]}";
+                    call.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                            + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+                    assertTrue(readCall(asked).startsWith("GET /v1/endpoints?since=" + version + "&"));
+                }
+            } finally {
+                router.destroyForcibly();
+            }
+        }
+    }
+
+    /** The first line of a request, which is read to its end. */
+    private static String readCall(BufferedReader from) throws IOException {
+        String first = from.readLine();
+        String line = first;
+        while (line != null && !line.isEmpty()) {
+            line = from.readLine();
+        }
+        return String.valueOf(first);
+    }
+
     /** SIGHUP must not end it: a bad file changes nothing, a good one moves the watch. */
     @Test
     void takesNewConfigurationsAtSighup() throws Exception {
