--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -191,6 +191,8 @@
             }
         } else if (event instanceof Event.ListCame e) {
             listCame(e.list());
+        } else if (event instanceof Event.DiscoveryLost) {
+            watch.lost();
         } else if (event instanceof Event.ListFailed) {
             listFailed();
         } else if (event instanceof Event.Started e) {
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -71,6 +71,10 @@
     record ListCame(BoxList list) implements Event {
     }
 
+    /** The connection to discovery broke, or was not made: it may be another process that answers next. */
+    record DiscoveryLost() implements Event {
+    }
+
     /** A call for the box list has failed. */
     record ListFailed() implements Event {
     }
--- a/src/main/java/yewdock/desk/ListVersions.java
+++ b/src/main/java/yewdock/desk/ListVersions.java
@@ -3,6 +3,9 @@
 /**
  * How far the list of servers is known, by the versions that discovery counts.
  *
+ * <p>Versions are those of one process of discovery. Where its connection broke another may answer next, with
+ * the same numbers for other changes and without memory of what it removed: then the whole list is asked for.
+ *
  * <p>An answer with a lower version than one before it comes from a replica of discovery that lags behind, or
  * from a service that was started anew and counts from the beginning. Neither can be told from the other at
  * once, and in both cases changes to the held list can't be asked for any more: a service that counts anew
@@ -26,6 +29,11 @@
         olderSince = Long.MAX_VALUE;
     }
 
+    /** Changes to the held list may not be told any more. */
+    void wantWhole() {
+        wholeWanted = true;
+    }
+
     /** Takes note of an answer; tells whether what it says of servers that are up may be believed. */
     boolean follows(BoxList answer, long now) {
         boolean older = answer.version() < newest;
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -154,6 +154,11 @@
         return terms.listPushed() ? part() : Math.min(COUNTS_AS_TOLD - TURN, terms.askWithin() / 2);
     }
 
+    /** Discovery may be another process from now on, whose versions mean something else. */
+    void lost() {
+        versions.wantWhole();
+    }
+
     /** Another router has a newer list: the call that is out should have brought it, so it is broken. */
     void askAnew() {
         counters.add("list.behind");
--- a/src/main/java/yewdock/platform/ListSide.java
+++ b/src/main/java/yewdock/platform/ListSide.java
@@ -144,8 +144,12 @@
         if (!gone) {
             gone = true;
             front.listClosed(this);
+            Event end = endOfConnection();
+            if (end instanceof Event.ListFailed) {
+                front.happened(new Event.DiscoveryLost());
+            }
             if (out) {
-                front.happened(endOfConnection());
+                front.happened(end);
             }
         }
     }
