The rest after changes in a row is no longer than half of the settings' time for asking

No deployment known here has less than 10 s, so that this was not what the operators saw.

Change: the rest is half of that time at most. Test: OlderListsTest.theRestAfterChangesInARowLeavesTimeToAsk, which rests 1,000 ms without the change, where 250 are allowed.

--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -284,7 +284,7 @@
         boolean series = !list.boxes().isEmpty() && now.getAsLong() - newsAt < SERIES;
         newsAt = list.boxes().isEmpty() ? newsAt : now.getAsLong();
         if (series && !terms.listPushed()) {
-            askLater(REST, wait);
+            askLater(Math.min(REST, terms.askWithin() / 2), wait);
         } else if (news || now.getAsLong() - calledAt >= PACE) {
             ask(wait);
         } else {
--- a/src/test/java/yewdock/OlderListsTest.java
+++ b/src/test/java/yewdock/OlderListsTest.java
@@ -60,7 +60,11 @@
     }
 
     private void start(boolean pushed, long version, ModelBox... known) {
-        desk = new Desk(new Terms(250_000, 30 * SECOND, pushed, SECOND / 2, 10 * SECOND, true, 4,
+        start(pushed, 10 * SECOND, version, known);
+    }
+
+    private void start(boolean pushed, long askWithin, long version, ModelBox... known) {
+        desk = new Desk(new Terms(250_000, 30 * SECOND, pushed, SECOND / 2, askWithin, true, 4,
                 List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(), Module::new);
         happens(new Event.Started(new BoxList(version, true, List.of(known)), "127.0.0.1:8500"));
         answer(new BoxList(version, false, List.of()));
@@ -145,6 +149,19 @@
         }
     }
 
+    /** Without a watch, what changes counts as told after the settings' time: the rest must be shorter. */
+    @Test
+    void theRestAfterChangesInARowLeavesTimeToAsk() {
+        start(false, SECOND / 2, 40, FIRST);
+        answer(new BoxList(41, false, List.of(SECOND_SERVER)));
+        answer(new BoxList(42, false, List.of(SECOND_SERVER)));
+        long rested = now;
+        while (open == null) {
+            pass(STEP, null);
+        }
+        assertTrue(now - rested <= SECOND / 4 + STEP, "rested for " + (now - rested));
+    }
+
     /** Versions of one address mean nothing at another. */
     @Test
     void aLowerVersionAtAnotherAddressIsBelievedAtOnce() {
