--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo deployments-proof replacement-proof model-proof upgrade-proof upgrade-probe store-proof agreement-proof store-probe store-damage
+.PHONY: build test lint run demo drain-proof deployments-proof replacement-proof model-proof upgrade-proof upgrade-probe store-proof agreement-proof store-probe store-damage
 
 build:
 	mvn -B -ntp -q -DskipTests package
@@ -26,6 +26,11 @@
 deployments-proof: build
 	java -jar target/yewdock.jar deployments-proof
 
+# faults between routers and discovery, drawn from many seeds: some ten minutes; not a part of CI
+drain-proof:
+	mvn -B -ntp -q test -Dtest='DrainScheduleTest,RandomFaultsTest' -Ddrain.schedules=2000 -Ddrain.seeds=40 \
+		-Dsurefire.failIfNoSpecifiedTests=false
+
 # fifty upgrades under load, about a minute; not a part of CI
 upgrade-proof: build
 	java -jar target/yewdock.jar proof --upgrades 50
