--- a/src/main/java/yewdock/daemon/ConfigurationFile.java
+++ b/src/main/java/yewdock/daemon/ConfigurationFile.java
@@ -9,9 +9,10 @@
 import yewdock.sockets.Signals;
 
 /**
- * The configuration's file, which is read again at SIGHUP. A process that was started with SIGHUP ignored can't
- * take it, and would follow a list that has moved away for ever: it looks at the file instead. So does one that
- * could not read the file when it was told to, for whoever wrote it may not have been done: until it is read.
+ * The configuration's file, which is read again at SIGHUP. A process that was started with SIGHUP ignored
+ * can't take it, and would follow a list that has moved away for ever: it looks at the file instead. So does
+ * one that could not read the file when it was told to, until it is read: whoever wrote it may not have been
+ * done.
  */
 final class ConfigurationFile {
     private static final long LOOK_MILLIS = 250;
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/ListWatch.java
@@ -179,8 +179,8 @@
     }
 
     /**
-     * Whether an answer follows the list that is held; called once for each, before {@link #came}. Of one that
-     * does not, only what ends a server's use may be taken over.
+     * Whether an answer follows the list that is held; called once for each, before {@link #came}. Of one
+     * that does not, only what ends a server's use may be taken over.
      */
     boolean follows(BoxList list) {
         boolean follows = versions.follows(list, now.getAsLong());
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -210,7 +210,8 @@
             list = null;
         }
         if (list == null) {
-            list = wires.connectToDiscovery(e.address(), wire -> new ListSide(this, lists, e.address(), wire));
+            list = wires.connectToDiscovery(e.address(),
+                    wire -> new ListSide(this, lists, e.address(), wire));
         }
         list.ask(e.since(), e.longest());
     }
--- a/src/main/java/yewdock/platform/Wires.java
+++ b/src/main/java/yewdock/platform/Wires.java
@@ -7,7 +7,7 @@
     /** Begins to connect; the side is told when the connection is up or down. */
     <S extends Side> S connect(String address, Function<Wire, S> makeSide);
 
-    /** The same for a connection to discovery: what comes over it goes before all else that waits to be done. */
+    /** The same for a connection to discovery: what comes over it goes before all else that waits. */
     default <S extends Side> S connectToDiscovery(String address, Function<Wire, S> makeSide) {
         return connect(address, makeSide);
     }
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -30,7 +30,6 @@
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
--- a/src/test/java/yewdock/OlderListsTest.java
+++ b/src/test/java/yewdock/OlderListsTest.java
@@ -65,7 +65,8 @@
 
     private void start(boolean pushed, long askWithin, long version, ModelBox... known) {
         desk = new Desk(new Terms(250_000, 30 * SECOND, pushed, SECOND / 2, askWithin, true, 4,
-                List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(), Module::new);
+                List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(),
+                Module::new);
         happens(new Event.Started(new BoxList(version, true, List.of(known)), "127.0.0.1:8500"));
         answer(new BoxList(version, false, List.of()));
     }
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -186,7 +186,8 @@
                     String servers = IntStream.range(100, 400)
                             .mapToObj(i -> "{\"id\":\"s-" + i + "\",\"state\":\"removed\"}")
                             .collect(Collectors.joining(","));
-                    String body = "{\"version\":" + version + ",\"full\":false,\"servers\":[" + servers + "]}";
+                    String body = "{\"version\":" + version + ",\"full\":false,\"servers\":["
+                            + servers + "]}";
                     call.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
                             + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
                     assertTrue(readCall(asked).startsWith("GET /v1/endpoints?since=" + version + "&"));
--- a/src/test/java/yewdock/faults/DrainScheduleTest.java
+++ b/src/test/java/yewdock/faults/DrainScheduleTest.java
@@ -64,8 +64,8 @@
             grace = SECOND / 4 * (1 + random.nextInt(4));
             judge = new DrainJudge(grace / 1000, pushed, () -> now * 1000);
             discovery = new SimulatedDiscovery(judge, SERVERS);
-            desk = new Desk(new Terms(250_000, 5 * SECOND, pushed, grace, 10 * SECOND, false, 4, List.of(true),
-                    List.of("chat"), 0), new Bounds(80, 200, 200, 1 << 20), new Counters(),
+            desk = new Desk(new Terms(250_000, 5 * SECOND, pushed, grace, 10 * SECOND, false, 4,
+                    List.of(true), List.of("chat"), 0), new Bounds(80, 200, 200, 1 << 20), new Counters(),
                     actions -> new BoundedLoadRouter(settings(), seed, actions));
             happens(new Event.Started(discovery.whole(), "127.0.0.1:8500"));
         }
@@ -95,7 +95,8 @@
                 } else if (effect instanceof Effect.CloseLine line) {
                     later(0, new Event.LineDown(line.line()));
                 } else if (effect instanceof Effect.SendTry attempt) {
-                    judge.attempted(0, SimulatedDiscovery.name(serversByLine.get(attempt.line())), now * 1000);
+                    judge.attempted(0, SimulatedDiscovery.name(serversByLine.get(attempt.line())),
+                            now * 1000);
                     later(0, new Event.TrySent(attempt.line()));
                     later(30_000 + random.nextInt(100_000), new Event.Answered(attempt.line(),
                             Routing.Outcome.OK, true, 0, null));
@@ -140,7 +141,7 @@
                 long server = 1 + random.nextInt(SERVERS);
                 boolean before = random.nextBoolean();
                 EndpointState end = random.nextBoolean() ? EndpointState.DRAINING : EndpointState.REMOVED;
-                script.add((before ? "s-" + server + " " + end + ", then " : "s-" + server + " " + end + " in "));
+                script.add("s-" + server + " " + end + (before ? ", then " : " in "));
                 if (before) {
                     discovery.set(server, end);
                     // an agent that stops in the very moment in which it has news has told nobody of it
