--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import umberspread.GenerationRouter;
 import umberspread.Routing;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
@@ -268,7 +268,7 @@
             front.start();
         } else {
             // the versions of one list mean nothing to another: then the whole of it is asked for
-            front.start(new BoxList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
+            front.start(new EndpointList(sameList ? left.boxes().version() : -1, true, left.boxes().boxes()));
             desk.recallTold(left.toldAt());
         }
     }
--- a/src/main/java/yewdock/daemon/Rehearsal.java
+++ b/src/main/java/yewdock/daemon/Rehearsal.java
@@ -11,10 +11,10 @@
 import umberspread.GenerationRouter;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.Terms;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
@@ -51,12 +51,12 @@
     /** Plays so many requests; returns how many were served. */
     static long play(Config config, int requests) {
         Rehearsal rehearsal = new Rehearsal(config);
-        List<ModelBox> boxes = new ArrayList<>();
+        List<ModelServer> boxes = new ArrayList<>();
         for (int i = 1; i <= BOXES; i++) {
-            boxes.add(new ModelBox("s-" + i, "127.0.0.1:" + i, new Replica(i, 0, 0, 0, 1, Lifecycle.READY,
+            boxes.add(new ModelServer("s-" + i, "127.0.0.1:" + i, new Replica(i, 0, 0, 0, 1, Lifecycle.READY,
                     0)));
         }
-        rehearsal.front.start(new BoxList(1, true, boxes));
+        rehearsal.front.start(new EndpointList(1, true, boxes));
         for (int i = 0; i < requests; i++) {
             rehearsal.one(i);
         }
--- a/src/main/java/yewdock/daemon/States.java
+++ b/src/main/java/yewdock/daemon/States.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.BoxMark;
 import yewdock.desk.Holdings;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.OtherNews;
 import yewdock.wire.Box;
 import yewdock.wire.Boxes;
@@ -36,7 +36,8 @@
     }
 
     /** What a state holds for the next generation; memory is null if there is none to go on with. */
-    public record Left(BoxList boxes, String listAddress, Map<Long, Long> toldAt, umberspread.Memory memory,
+    public record Left(EndpointList boxes, String listAddress, Map<Long, Long> toldAt,
+            umberspread.Memory memory,
             long shift, Map<String, Long> counters, boolean afterRestart) {
     }
 
@@ -168,10 +169,10 @@
         };
     }
 
-    private static Boxes boxes(BoxList list, String address, Map<Long, Long> toldAt) {
+    private static Boxes boxes(EndpointList list, String address, Map<Long, Long> toldAt) {
         Boxes.Builder all = Boxes.newBuilder().setVersion(list.version()).setFull(list.full())
                 .setAddress(address == null ? "" : address);
-        for (ModelBox box : list.boxes()) {
+        for (ModelServer box : list.boxes()) {
             Replica r = box.replica();
             all.addBoxes(Box.newBuilder().setName(box.name()).setAddress(box.address()).setId(r.id())
                     .setSite(r.zone()).setKind(r.kind()).setCell(r.cell()).setWeight(r.weight())
@@ -181,16 +182,17 @@
         return all.build();
     }
 
-    private static BoxList list(Boxes boxes) {
-        List<ModelBox> all = new ArrayList<>();
+    private static EndpointList list(Boxes boxes) {
+        List<ModelServer> all = new ArrayList<>();
         for (Box b : boxes.getBoxesList()) {
             if (b.getLifecycle() < 0 || b.getLifecycle() >= Lifecycle.values().length) {
                 throw new IllegalArgumentException("box " + b.getName() + " is in an unknown state");
             }
-            all.add(new ModelBox(b.getName(), b.getAddress(), new Replica(b.getId(), b.getSite(), b.getKind(),
+            all.add(new ModelServer(b.getName(), b.getAddress(), new Replica(b.getId(), b.getSite(),
+                    b.getKind(),
                     b.getCell(), b.getWeight(), Lifecycle.values()[b.getLifecycle()], b.getStartedAt())));
         }
-        return new BoxList(boxes.getVersion(), boxes.getFull(), all);
+        return new EndpointList(boxes.getVersion(), boxes.getFull(), all);
     }
 
     private static Memory memory(umberspread.Memory m) {
--- a/src/main/java/yewdock/desk/Answers.java
+++ b/src/main/java/yewdock/desk/Answers.java
@@ -25,7 +25,7 @@
     private long lastRequest;
     private int heldBytes;
 
-    Answers(Turn turn, Terms terms, Bounds bounds, KnownBoxes boxes, Lines lines, Others others) {
+    Answers(Turn turn, Terms terms, Bounds bounds, KnownServers boxes, Lines lines, Others others) {
         this.turn = turn;
         this.bounds = bounds;
         this.classes = terms.classes();
--- a/src/main/java/yewdock/desk/Calls.java
+++ b/src/main/java/yewdock/desk/Calls.java
@@ -8,7 +8,8 @@
 
 /**
  * Operators' calls, as a part of the reducer: each is answered in the turn in which it came, so that a yes is
- * true from then on. Boxes are put out of use through {@link KnownBoxes}, the rest is answered or kept here.
+ * true from then on. Boxes are put out of use through {@link KnownServers}, the rest is answered or kept
+ * here.
  */
 final class Calls {
     /** After a no at /ready new connections stop within 0.3 s: idle ones are closed from here on, */
@@ -19,7 +20,7 @@
     private final Turn turn;
     private final Terms terms;
     private final Counters counters;
-    private final KnownBoxes boxes;
+    private final KnownServers boxes;
     private final IntSupplier pending;
     /** Empty when a request that came now could be served here, else why not. */
     private final Supplier<String> unready;
@@ -27,7 +28,7 @@
     private boolean quiesced;
     private long sendAwayAt;
 
-    Calls(Turn turn, Terms terms, Counters counters, KnownBoxes boxes, IntSupplier pending,
+    Calls(Turn turn, Terms terms, Counters counters, KnownServers boxes, IntSupplier pending,
             Supplier<String> unready, Runnable changed) {
         this.turn = turn;
         this.terms = terms;
@@ -125,8 +126,8 @@
                 count(name, Ending.COMPLETED), count(name, Ending.REJECTED),
                 count(name, Ending.FAILED))).toList();
         int avoided = 0;
-        for (ModelBox box : boxes.told()) {
-            ModelBox over = boxes.get(box.id());
+        for (ModelServer box : boxes.told()) {
+            ModelServer over = boxes.get(box.id());
             avoided += over == null || !over.takesWork() || avoidedByChoice.contains(box.id()) ? 1 : 0;
         }
         return new Figures(classes, counters.get("tries.written"), pending.getAsInt(), boxes.told().size(),
--- a/src/main/java/yewdock/desk/Desk.java
+++ b/src/main/java/yewdock/desk/Desk.java
@@ -14,7 +14,7 @@
  * of carrying it out.
  *
  * <p>It deals events out to its parts: {@link Answers} owes clients, {@link Tries} and {@link Streams} carry
- * requests out, {@link Lines} are the connections to boxes, {@link ListWatch} watches the list,
+ * requests out, {@link Lines} are the connections to boxes, {@link DiscoveryWatch} watches the list,
  * {@link Clients} keeps connections at rest and {@link Others} the router's other processes in mind.
  */
 public final class Desk {
@@ -30,9 +30,9 @@
 
     private final Turn turn;
     private final Clients clients;
-    private final ListWatch watch;
+    private final DiscoveryWatch watch;
     private final Others others;
-    private final KnownBoxes boxes;
+    private final KnownServers boxes;
     private final Lines lines;
     private final Answers answers;
     private final Tries tries;
@@ -53,9 +53,9 @@
     public Desk(Terms terms, Bounds bounds, Counters counters,
             Function<Routing.Actions, Routing.Events> makeModule) {
         this.turn = new Turn(counters);
-        this.boxes = new KnownBoxes(turn::now, terms.coldFor());
+        this.boxes = new KnownServers(turn::now, terms.coldFor());
         this.clients = new Clients(bounds.clients(), turn::now, turn.timers(), counters, turn::effect);
-        this.watch = new ListWatch(terms, turn::now, turn.timers(), counters, turn::effect,
+        this.watch = new DiscoveryWatch(terms, turn::now, turn.timers(), counters, turn::effect,
                 this::listFailed);
         this.others = new Others(turn::now, turn.timers(), counters, turn::effect, new Door());
         this.lines = new Lines(turn, bounds.lines(), terms.keepalive(), boxes);
@@ -110,7 +110,7 @@
         if (unheard) {
             return "the agent that has the box list has not answered";
         }
-        return boxes.all().stream().anyMatch(ModelBox::takesWork) ? "" : "no model box takes work";
+        return boxes.all().stream().anyMatch(ModelServer::takesWork) ? "" : "no model box takes work";
     }
 
     /** Whether an operator has told it to send clients away. */
@@ -152,7 +152,7 @@
         List<String> ids = answers.names();
         ids.addAll(others.claimed());
         return new Holdings(ids, Tries.sent(answers.all()),
-                new BoxList(watch.version(), true, boxes.told()), watch.address(), boxes.toldAt());
+                new EndpointList(watch.version(), true, boxes.told()), watch.address(), boxes.toldAt());
     }
 
     private void take(Event event) {
@@ -344,7 +344,7 @@
     // ---- the box list
 
     private void started(Event.Started e) {
-        BoxList known = e.known();
+        EndpointList known = e.known();
         watch.begin(e.listAddress(), known.version());
         boxes.keep(known);
         turn.tell(0, m -> m.started(turn.now()));
@@ -364,7 +364,7 @@
         }
     }
 
-    private void listCame(BoxList list) {
+    private void listCame(EndpointList list) {
         if (watch.follows(list)) {
             take(list);
             if (watch.came(list)) {
@@ -373,14 +373,14 @@
             return;
         }
         // as a change to the held list; a server that it does not name may only be unknown to a replica
-        BoxList endings = new BoxList(watch.version(), false,
+        EndpointList endings = new EndpointList(watch.version(), false,
                 boxes.endingsIn(list, Routing.Lifecycle.DRAINING));
         take(endings);
         watch.cameOlder(list);
         tellModule(endings);
     }
 
-    private void take(BoxList list) {
+    private void take(EndpointList list) {
         if (others.any() || keeping) {
             turn.effect(new Effect.TellOthers(new OtherNews.Told(list, watch.address())));
         }
@@ -389,7 +389,7 @@
         heard();
     }
 
-    private void tellModule(BoxList list) {
+    private void tellModule(EndpointList list) {
         turn.tell(0, m -> m.listReceived(turn.now(), list.full() ? ListKind.FULL : ListKind.DELTA,
                 replicas(boxes.over(list))));
     }
@@ -409,7 +409,7 @@
         if (unheard) {
             return;
         }
-        BoxList all = new BoxList(watch.version(), true, List.copyOf(boxes.all()));
+        EndpointList all = new EndpointList(watch.version(), true, List.copyOf(boxes.all()));
         turn.tell(0, m -> m.listReceived(turn.now(), ListKind.CACHED, replicas(all)));
     }
 
@@ -420,8 +420,8 @@
         }
     }
 
-    private static List<Routing.Replica> replicas(BoxList list) {
-        return list.boxes().stream().map(ModelBox::replica).toList();
+    private static List<Routing.Replica> replicas(EndpointList list) {
+        return list.boxes().stream().map(ModelServer::replica).toList();
     }
 
     // ---- other generations
@@ -478,13 +478,13 @@
      * A drain told to one generation is kept by all at once. Only what ends work at a box is taken up, and
      * only news: this generation's own watch goes on from where it stands, and tells the rest.
      */
-    private void toldByOther(BoxList list, String address) {
+    private void toldByOther(EndpointList list, String address) {
         if (!address.equals(watch.address()) || list.version() <= watch.version()) {
             return;
         }
-        List<ModelBox> ending = boxes.endingsIn(list, Routing.Lifecycle.GONE);
+        List<ModelServer> ending = boxes.endingsIn(list, Routing.Lifecycle.GONE);
         if (!ending.isEmpty()) {
-            boxes.keep(new BoxList(watch.version(), false, ending));
+            boxes.keep(new EndpointList(watch.version(), false, ending));
             changedHere();
         }
     }
--- a/src/main/java/yewdock/desk/ListWatch.java
+++ b/src/main/java/yewdock/desk/DiscoveryWatch.java
@@ -12,7 +12,7 @@
  * this machine, and what the agent has counts as told: there the watch goes on by itself from the first
  * moment, and a call that brings nothing is made anew well within the time in which a drain must be kept.
  */
-final class ListWatch {
+final class DiscoveryWatch {
     /** How long a call for the list may wait for news. */
     static final long WAIT = 5_000_000;
     /**
@@ -68,7 +68,7 @@
     private final Counters counters;
     private final Consumer<Effect> effects;
     private final Runnable whenLate;
-    private final ListVersions versions = new ListVersions();
+    private final EndpointListVersions versions = new EndpointListVersions();
     private String address;
     private long call;
     private long calledAt;
@@ -79,7 +79,7 @@
     private boolean catchesUp;
     private long newsAt = -SERIES;
 
-    ListWatch(Terms terms, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
+    DiscoveryWatch(Terms terms, LongSupplier now, Timers timers, Counters counters, Consumer<Effect> effects,
             Runnable whenLate) {
         this.terms = terms;
         this.now = now;
@@ -120,7 +120,7 @@
             return;
         }
         address = where;
-        versions.startWith(ListVersions.NONE);
+        versions.startWith(EndpointListVersions.NONE);
         failures = 0;
         silences = 0;
         hangUpAndAsk();
@@ -182,7 +182,7 @@
      * Whether an answer follows the list that is held; called once for each, before {@link #came}. Of one
      * that does not, only what ends a server's use may be taken over.
      */
-    boolean follows(BoxList list) {
+    boolean follows(EndpointList list) {
         boolean follows = versions.follows(list, now.getAsLong());
         if (!follows) {
             counters.add("list.older");
@@ -257,10 +257,10 @@
     }
 
     /** An answer that does not follow the held list: the whole list is asked for until one is believed. */
-    void cameOlder(BoxList list) {
+    void cameOlder(EndpointList list) {
         answered();
         if (list.full()) {
-            askLater(terms.listPushed() ? part() : ListVersions.LONGEST_LAG, 0);
+            askLater(terms.listPushed() ? part() : EndpointListVersions.LONGEST_LAG, 0);
         } else {
             ask(0);
         }
@@ -276,7 +276,7 @@
     }
 
     /** An answer has come and the next call goes out; tells whether the module should hear of the answer. */
-    boolean came(BoxList list) {
+    boolean came(EndpointList list) {
         boolean news = asked || list.full() || !list.boxes().isEmpty();
         answered();
         long wait = terms.listPushed() ? part() : list.boxes().isEmpty() ? WAIT
--- a/src/main/java/yewdock/desk/ListVersions.java
+++ b/src/main/java/yewdock/desk/EndpointListVersions.java
@@ -12,7 +12,7 @@
  * may not reach the held version for hours. Hence the whole list is asked for. A service that gives older
  * whole lists for longer than replicas lag has begun to count anew, and is believed.
  */
-final class ListVersions {
+final class EndpointListVersions {
     /** The version to ask changes since where the whole list is wanted. */
     static final long NONE = -1;
     /** A replica that lags for longer is not one that routers should be sent to. */
@@ -35,7 +35,7 @@
     }
 
     /** Takes note of an answer; tells whether what it says of servers that are up may be believed. */
-    boolean follows(BoxList answer, long now) {
+    boolean follows(EndpointList answer, long now) {
         boolean older = answer.version() < newest;
         if (older) {
             olderSince = Math.min(olderSince, now);
--- a/src/main/java/yewdock/desk/Event.java
+++ b/src/main/java/yewdock/desk/Event.java
@@ -7,7 +7,7 @@
 /** All that can happen to the desk. Clients and lines to boxes go by numbers. */
 public sealed interface Event {
     /** The router is up; this is the list as it was last held, and where news of it is to be had. */
-    record Started(BoxList known, String listAddress) implements Event {
+    record Started(EndpointList known, String listAddress) implements Event {
     }
 
     /** A new configuration says that the list is to be had here. */
@@ -68,7 +68,7 @@
     }
 
     /** The box list has answered. */
-    record ListCame(BoxList list) implements Event {
+    record ListCame(EndpointList list) implements Event {
     }
 
     /** The connection to discovery broke, or was not made: it may be another process that answers next. */
--- a/src/main/java/yewdock/desk/KnownBoxes.java
+++ b/src/main/java/yewdock/desk/KnownServers.java
@@ -16,31 +16,31 @@
  * The boxes, as a part of the reducer: what the list tells of each, with what operators say laid over it. A
  * mark never changes what was told, so that taking it back brings back what the list says by then.
  */
-final class KnownBoxes {
+final class KnownServers {
     private final LongSupplier now;
-    private final Map<Long, ModelBox> told = new HashMap<>();
-    private final Map<Long, ModelBox> boxes = new HashMap<>();
+    private final Map<Long, ModelServer> told = new HashMap<>();
+    private final Map<Long, ModelServer> boxes = new HashMap<>();
     /** When the list first told the state that each box has. */
     private final Map<Long, Long> toldAt = new HashMap<>();
     /** By the boxes' names, not by what the list says of them: a mark outlives the list's entry. */
     private final Map<String, BoxMark> marks = new TreeMap<>();
     private final long coldFor;
 
-    KnownBoxes(LongSupplier now, long coldFor) {
+    KnownServers(LongSupplier now, long coldFor) {
         this.now = now;
         this.coldFor = coldFor;
     }
 
     /** The list tells something. */
-    void keep(BoxList list) {
+    void keep(EndpointList list) {
         if (list.full()) {
             Set<Long> named = new HashSet<>();
             list.boxes().forEach(box -> named.add(box.id()));
             told.keySet().retainAll(named);
             boxes.keySet().retainAll(named);
         }
-        for (ModelBox box : list.boxes()) {
-            ModelBox before = box.isGone() ? told.remove(box.id()) : told.put(box.id(), box);
+        for (ModelServer box : list.boxes()) {
+            ModelServer before = box.isGone() ? told.remove(box.id()) : told.put(box.id(), box);
             if (before == null || before.replica().lifecycle() != box.replica().lifecycle()) {
                 toldAt.put(box.id(), now.getAsLong());
             }
@@ -53,16 +53,16 @@
      * What ends the use of known servers in a list that may not be believed otherwise. In a whole list a
      * server's end is that it is not named; it counts as this state here.
      */
-    List<ModelBox> endingsIn(BoxList list, Lifecycle unnamed) {
-        List<ModelBox> ending = new ArrayList<>();
+    List<ModelServer> endingsIn(EndpointList list, Lifecycle unnamed) {
+        List<ModelServer> ending = new ArrayList<>();
         Set<Long> named = new HashSet<>();
-        for (ModelBox server : list.boxes()) {
+        for (ModelServer server : list.boxes()) {
             named.add(server.id());
             if (!server.takesWork() && told.containsKey(server.id())) {
                 ending.add(server);
             }
         }
-        for (ModelBox server : told.values()) {
+        for (ModelServer server : told.values()) {
             if (list.full() && !named.contains(server.id())) {
                 ending.add(as(server, unnamed));
             }
@@ -127,8 +127,8 @@
         return marks;
     }
 
-    private void place(ModelBox box) {
-        ModelBox over = over(box);
+    private void place(ModelServer box) {
+        ModelServer over = over(box);
         if (over.isGone()) {
             boxes.remove(box.id());
         } else {
@@ -136,7 +136,7 @@
         }
     }
 
-    private ModelBox over(ModelBox box) {
+    private ModelServer over(ModelServer box) {
         BoxMark mark = marks.get(box.name());
         if (mark == null || box.isGone()) {
             return box;
@@ -151,40 +151,40 @@
     }
 
     /** The box in another state. */
-    static ModelBox as(ModelBox box, Lifecycle lifecycle) {
+    static ModelServer as(ModelServer box, Lifecycle lifecycle) {
         return as(box, lifecycle, box.replica().startedAt());
     }
 
-    private static ModelBox as(ModelBox box, Lifecycle lifecycle, long startedAt) {
+    private static ModelServer as(ModelServer box, Lifecycle lifecycle, long startedAt) {
         Replica r = box.replica();
-        return new ModelBox(box.name(), box.address(), new Replica(r.id(), r.zone(), r.kind(), r.cell(),
+        return new ModelServer(box.name(), box.address(), new Replica(r.id(), r.zone(), r.kind(), r.cell(),
                 r.weight(), lifecycle, startedAt));
     }
 
     /** What the list tells, as it holds under the marks. */
-    BoxList over(BoxList list) {
-        List<ModelBox> over = new ArrayList<>();
-        for (ModelBox box : list.boxes()) {
-            ModelBox next = over(box);
+    EndpointList over(EndpointList list) {
+        List<ModelServer> over = new ArrayList<>();
+        for (ModelServer box : list.boxes()) {
+            ModelServer next = over(box);
             // a whole list says that a box is gone by not naming it
             if (!list.full() || !next.isGone()) {
                 over.add(next);
             }
         }
-        return new BoxList(list.version(), list.full(), over);
+        return new EndpointList(list.version(), list.full(), over);
     }
 
     /** A box as it is to be used; null if there is none. */
-    ModelBox get(long id) {
+    ModelServer get(long id) {
         return boxes.get(id);
     }
 
-    Collection<ModelBox> all() {
+    Collection<ModelServer> all() {
         return boxes.values();
     }
 
     /** All as the list tells them. */
-    List<ModelBox> told() {
+    List<ModelServer> told() {
         return List.copyOf(told.values());
     }
 
--- a/src/main/java/yewdock/desk/Line.java
+++ b/src/main/java/yewdock/desk/Line.java
@@ -3,14 +3,14 @@
 /** A connection to a box. It carries one try at a time. */
 final class Line {
     final long id;
-    final ModelBox box;
+    final ModelServer box;
     boolean up;
     boolean closing;
     boolean held;
     Try current;
     long idleSince;
 
-    Line(long id, ModelBox box) {
+    Line(long id, ModelServer box) {
         this.id = id;
         this.box = box;
     }
--- a/src/main/java/yewdock/desk/Lines.java
+++ b/src/main/java/yewdock/desk/Lines.java
@@ -18,12 +18,12 @@
     private final Turn turn;
     private final int most;
     private final long idleFor;
-    private final KnownBoxes boxes;
+    private final KnownServers boxes;
     private final Map<Long, Line> lines = new HashMap<>();
     private final Map<Long, Deque<Line>> idle = new HashMap<>();
     private long last;
 
-    Lines(Turn turn, int most, long keepalive, KnownBoxes boxes) {
+    Lines(Turn turn, int most, long keepalive, KnownServers boxes) {
         this.turn = turn;
         this.most = most;
         this.idleFor = (long) (keepalive * KEEP_PART);
@@ -40,7 +40,7 @@
     }
 
     /** A line to the box that has rested long enough, which rests no more; null if there is none. */
-    Line take(ModelBox box) {
+    Line take(ModelServer box) {
         Deque<Line> waiting = idle.get(box.id());
         Line line = waiting == null ? null : settled(waiting);
         if (line == null && lines.size() >= most * FULL_PART) {
@@ -79,7 +79,7 @@
     }
 
     /** Asks for a new line for a try; null if there is no room for another. */
-    Line open(ModelBox box, Try t) {
+    Line open(ModelServer box, Try t) {
         if (lines.size() >= most) {
             turn.count("lines.no_room");
             return null;
@@ -126,7 +126,7 @@
     /** The line's try has ended: it rests where it can take another, and is closed where it can't. */
     void free(Line line, boolean reusable) {
         line.current = null;
-        ModelBox box = boxes.get(line.box.id());
+        ModelServer box = boxes.get(line.box.id());
         if (reusable && box != null && box.takesWork() && box.address().equals(line.box.address())) {
             read(line);
             rest(line);
@@ -166,7 +166,7 @@
     /** Lines at rest to boxes that take no work any more, or have moved, are of no use. */
     void closeIdleToLeavers() {
         for (Map.Entry<Long, Deque<Line>> entry : idle.entrySet()) {
-            ModelBox box = boxes.get(entry.getKey());
+            ModelServer box = boxes.get(entry.getKey());
             entry.getValue().removeIf(line -> {
                 boolean leaves = box == null || !box.takesWork()
                         || !box.address().equals(line.box.address());
--- a/src/main/java/yewdock/desk/OtherNews.java
+++ b/src/main/java/yewdock/desk/OtherNews.java
@@ -26,6 +26,6 @@
     }
 
     /** What the box list at this address has told. */
-    record Told(BoxList list, String address) implements OtherNews {
+    record Told(EndpointList list, String address) implements OtherNews {
     }
 }
--- a/src/main/java/yewdock/desk/Tries.java
+++ b/src/main/java/yewdock/desk/Tries.java
@@ -18,13 +18,13 @@
 final class Tries {
     private final Turn turn;
     private final Terms terms;
-    private final KnownBoxes boxes;
+    private final KnownServers boxes;
     private final Lines lines;
     private final Others others;
     /** Takes a request of which a try has ended: nothing of it may be out any more. */
     private final Consumer<Owed> ended;
 
-    Tries(Turn turn, Terms terms, KnownBoxes boxes, Lines lines, Others others, Consumer<Owed> ended) {
+    Tries(Turn turn, Terms terms, KnownServers boxes, Lines lines, Others others, Consumer<Owed> ended) {
         this.turn = turn;
         this.terms = terms;
         this.boxes = boxes;
@@ -51,13 +51,13 @@
     }
 
     /** A box that is known and takes work, as far as this router may act by what it knows. */
-    private boolean mayGetWork(ModelBox box) {
+    private boolean mayGetWork(ModelServer box) {
         return box != null && box.takesWork() && !turn.inDoubt();
     }
 
     private void start(Try t) {
         Owed o = t.owed;
-        ModelBox box = boxes.get(t.box);
+        ModelServer box = boxes.get(t.box);
         if (!mayGetWork(box)) {
             end(t, Outcome.NOT_SENT, 0, null);
             return;
@@ -179,7 +179,7 @@
             return;
         }
         line.up = true;
-        ModelBox box = boxes.get(line.box.id());
+        ModelServer box = boxes.get(line.box.id());
         // The box may have begun to drain, or have moved, while the connection was being made.
         if (!mayGetWork(box)) {
             hangUp(line.current, Outcome.NOT_SENT);
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -11,14 +11,14 @@
 import org.json.JSONObject;
 import umberspread.Routing;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 
 /**
  * What the router is told at its start. keepalive is in microseconds; operator is where operators call, or ""
  * where they don't.
  */
 public record Config(String name, String listen, String operator, String discovery, long seed, long keepalive,
-        Routing.Settings settings, Names names, Bounds bounds, BoxList known) {
+        Routing.Settings settings, Names names, Bounds bounds, EndpointList known) {
     private static final double MICROS = 1e6;
     /** What a configuration without limits is taken to allow: the most that a router gets. */
     private static final int SOCKETS = 1024;
@@ -72,7 +72,7 @@
         return new Config(all.getString("name"), all.getString("listen"), operator, discovery,
                 Long.parseUnsignedLong(all.getString("seed"), 16), time(l, "keepalive"), settings, names,
                 bounds(all.optJSONObject("limits", new JSONObject())),
-                known == null ? BoxList.NOTHING : new BoxLists(names, log).read(known));
+                known == null ? EndpointList.NOTHING : new EndpointListReader(names, log).read(known));
     }
 
     /** Names what in the next configuration differs from this one and counts only from a start on. */
--- a/src/main/java/yewdock/platform/ListSide.java
+++ b/src/main/java/yewdock/platform/DiscoveryConnection.java
@@ -4,19 +4,19 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.json.JSONException;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Event;
 import yewdock.http.BadMessageException;
 import yewdock.http.Head;
 import yewdock.http.MessageReader;
 
 /** The connection on which the box list is watched. */
-final class ListSide implements Side, MessageReader.Sink {
+final class DiscoveryConnection implements Side, MessageReader.Sink {
     private static final int MOST_LIST = 4 << 20;
     private static final int OK = 200;
 
     private final Front front;
-    private final BoxLists lists;
+    private final EndpointListReader lists;
     private final String host;
     private final Wire wire;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.ANSWER, this);
@@ -27,7 +27,7 @@
     private boolean out;
     private boolean gone;
 
-    ListSide(Front front, BoxLists lists, String host, Wire wire) {
+    DiscoveryConnection(Front front, EndpointListReader lists, String host, Wire wire) {
         this.front = front;
         this.lists = lists;
         this.host = host;
@@ -80,7 +80,7 @@
 
     private void whole() {
         boolean good = head.status() == OK;
-        BoxList list = good ? lists.read(body.toString(StandardCharsets.UTF_8)) : null;
+        EndpointList list = good ? lists.read(body.toString(StandardCharsets.UTF_8)) : null;
         if (!head.keepsAlive()) {
             gone = true;
             front.listClosed(this);
--- a/src/main/java/yewdock/platform/BoxLists.java
+++ b/src/main/java/yewdock/platform/EndpointListReader.java
@@ -13,14 +13,14 @@
 import org.json.JSONObject;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
-import yewdock.desk.BoxList;
-import yewdock.desk.ModelBox;
+import yewdock.desk.EndpointList;
+import yewdock.desk.ModelServer;
 
 /**
  * Reads lists of servers. An entry that can't be used is logged and skipped; the rest of its list counts,
  * and so does the entry's word that its server drains or is gone: that needs no more than an id and a state.
  */
-public final class BoxLists {
+public final class EndpointListReader {
     private static final double MOST_WEIGHT = 1e9;
     /** The later, the more it ends its server's use. */
     private static final List<Lifecycle> BY_SEVERITY =
@@ -31,27 +31,27 @@
     /** Which id each name has, for as long as it is listed: two names of one number must not be mixed up. */
     private final Map<String, Long> idsByName = new HashMap<>();
 
-    public BoxLists(Names names, Consumer<String> log) {
+    public EndpointListReader(Names names, Consumer<String> log) {
         this.names = names;
         this.log = log;
     }
 
     /** The names in this list have the ids that they have there. */
-    public void remember(BoxList list) {
+    public void remember(EndpointList list) {
         list.boxes().forEach(server -> idsByName.put(server.name(), server.id()));
     }
 
     /** The list in a text; throws JSONException if it is none. */
-    public BoxList read(String text) {
+    public EndpointList read(String text) {
         return read(new JSONObject(text));
     }
 
     /** The list in a JSON object; throws JSONException if it is none. */
-    public BoxList read(JSONObject list) {
+    public EndpointList read(JSONObject list) {
         long version = list.getLong("version");
         boolean full = list.getBoolean("full");
         JSONArray entries = list.getJSONArray("servers");
-        Map<Long, ModelBox> servers = new LinkedHashMap<>();
+        Map<Long, ModelServer> servers = new LinkedHashMap<>();
         for (int i = 0; i < entries.length(); i++) {
             try {
                 add(servers, server(entries.getJSONObject(i), i), i);
@@ -60,12 +60,12 @@
             }
         }
         forgetUnlisted(servers.values(), full);
-        return new BoxList(version, full, List.copyOf(servers.values()));
+        return new EndpointList(version, full, List.copyOf(servers.values()));
     }
 
     /** Of several entries for one server the first counts, unless a later one ends the server's use. */
-    private void add(Map<Long, ModelBox> servers, ModelBox server, int place) {
-        ModelBox before = servers.putIfAbsent(server.id(), server);
+    private void add(Map<Long, ModelServer> servers, ModelServer server, int place) {
+        ModelServer before = servers.putIfAbsent(server.id(), server);
         if (before == null) {
             return;
         }
@@ -75,19 +75,19 @@
         }
     }
 
-    private static int severity(ModelBox server) {
+    private static int severity(ModelServer server) {
         return BY_SEVERITY.indexOf(server.replica().lifecycle());
     }
 
     /** Servers come and go for as long as the router runs: the names of those that are gone must not stay. */
-    private void forgetUnlisted(Collection<ModelBox> servers, boolean full) {
+    private void forgetUnlisted(Collection<ModelServer> servers, boolean full) {
         Set<String> listed = new HashSet<>();
         Set<String> gone = new HashSet<>();
         servers.forEach(server -> (server.isGone() ? gone : listed).add(server.name()));
         idsByName.keySet().removeIf(name -> gone.contains(name) || full && !listed.contains(name));
     }
 
-    private ModelBox server(JSONObject entry, int place) {
+    private ModelServer server(JSONObject entry, int place) {
         String name = entry.getString("id");
         long id = idOf(name);
         Lifecycle lifecycle = lifecycle(entry.getString("state"), name, place);
@@ -119,11 +119,11 @@
         };
     }
 
-    private static ModelBox withStateOnly(String name, long id, Lifecycle lifecycle) {
-        return new ModelBox(name, "", new Replica(id, 0, 0, 0, 1, lifecycle, 0));
+    private static ModelServer withStateOnly(String name, long id, Lifecycle lifecycle) {
+        return new ModelServer(name, "", new Replica(id, 0, 0, 0, 1, lifecycle, 0));
     }
 
-    private ModelBox whole(JSONObject entry, String name, long id, Lifecycle lifecycle) {
+    private ModelServer whole(JSONObject entry, String name, long id, Lifecycle lifecycle) {
         String address = entry.getString("addr");
         Addresses.of(address);
         double weight = entry.optDouble("weight", 1);
@@ -131,7 +131,7 @@
         if (!(weight >= 0 && weight <= MOST_WEIGHT) || startedMillis < 0) {
             throw new IllegalArgumentException("impossible weight or start");
         }
-        return new ModelBox(name, address, new Replica(id, place(names.sites(), entry, "zone"),
+        return new ModelServer(name, address, new Replica(id, place(names.sites(), entry, "zone"),
                 place(names.kinds(), entry, "kind"), entry.optInt("cell", 0), weight, lifecycle,
                 startedMillis * 1000));
     }
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
@@ -26,7 +26,7 @@
     private Config config;
     private final Counters counters;
     private final Wires wires;
-    private final BoxLists lists;
+    private final EndpointListReader lists;
     private final Names names;
     private final LongSupplier clock;
     private final Consumer<String> log;
@@ -36,7 +36,7 @@
     private Consumer<Effect> calls = effect -> { };
     private final Map<Long, ClientSide> clients = new LinkedHashMap<>();
     private final Map<Long, BoxSide> lines = new HashMap<>();
-    private ListSide list;
+    private DiscoveryConnection list;
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean working;
     private boolean stopAsked;
@@ -50,7 +50,7 @@
         this.counters = counters;
         this.wires = wires;
         this.names = config.names();
-        this.lists = new BoxLists(names, line -> {
+        this.lists = new EndpointListReader(names, line -> {
             counters.add("list.unusable_entries");
             log.accept(line);
         });
@@ -65,7 +65,7 @@
     }
 
     /** The first event, with a list that is newer than the configuration's. */
-    public void start(BoxList known) {
+    public void start(EndpointList known) {
         lists.remember(known);
         happened(new Event.Started(known, config.discovery()));
     }
@@ -211,12 +211,12 @@
         }
         if (list == null) {
             list = wires.connectToDiscovery(e.address(),
-                    wire -> new ListSide(this, lists, e.address(), wire));
+                    wire -> new DiscoveryConnection(this, lists, e.address(), wire));
         }
         list.ask(e.since(), e.longest());
     }
 
-    void listClosed(ListSide side) {
+    void listClosed(DiscoveryConnection side) {
         if (list == side) {
             list = null;
         }
--- a/src/main/java/yewdock/proof/DeploymentSim.java
+++ b/src/main/java/yewdock/proof/DeploymentSim.java
@@ -13,12 +13,12 @@
 import umberspread.Routing.Outcome;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.ModelRequest;
 import yewdock.model.Calendar;
 
@@ -57,8 +57,8 @@
             this.startedAt = startedAt;
         }
 
-        ModelBox entry() {
-            return new ModelBox("s-" + id, "127.0.0.1:" + (9000 + id), new Replica(id, site, (int) id % 3,
+        ModelServer entry() {
+            return new ModelServer("s-" + id, "127.0.0.1:" + (9000 + id), new Replica(id, site, (int) id % 3,
                     (int) id / 4, 1 + id % 2, lifecycle, startedAt));
         }
     }
@@ -129,7 +129,7 @@
 
     /** Plays it to its end and returns what was broken. */
     public List<String> run() {
-        happened(new Event.Started(new BoxList(version, true, entries(0)), "127.0.0.1:8500"));
+        happened(new Event.Started(new EndpointList(version, true, entries(0)), "127.0.0.1:8500"));
         at((long) (SECOND / deployment.perSecond()), this::ask);
         for (int i = 0; i < deployment.troubles(); i++) {
             at(random.nextLong(DAY - 5 * SECOND), this::trouble);
@@ -469,7 +469,7 @@
         }
     }
 
-    private List<ModelBox> entries(long since) {
+    private List<ModelServer> entries(long since) {
         return boxes.values().stream().filter(b -> b.version > since && (since > 0 || !b.gone))
                 .map(Box::entry).toList();
     }
@@ -489,7 +489,7 @@
             at(call.longest(), () -> {
                 if (mine == listCall && listOpen == call && !listSilent) {
                     listOpen = null;
-                    happened(new Event.ListCame(new BoxList(version, false, entries(call.since()))));
+                    happened(new Event.ListCame(new EndpointList(version, false, entries(call.since()))));
                 }
             });
             return;
@@ -502,7 +502,7 @@
         if (deployment.settings().askForList()) {
             told(version);
         }
-        happened(new Event.ListCame(new BoxList(version, call.since() < 0,
+        happened(new Event.ListCame(new EndpointList(version, call.since() < 0,
                 entries(Math.max(0, call.since())))));
     }
 }
--- a/src/test/java/yewdock/AskedListTest.java
+++ b/src/test/java/yewdock/AskedListTest.java
@@ -11,12 +11,12 @@
 import umberspread.Routing.ListKind;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.Terms;
 
 /**
@@ -27,8 +27,8 @@
     private static final long SECOND = 1_000_000;
     private static final long GRACE = SECOND;
     private static final long STEP = 50_000;
-    private static final BoxList KNOWN = new BoxList(7, true, List.of(box(Lifecycle.READY)));
-    private static final BoxList DRAINED = new BoxList(8, false, List.of(box(Lifecycle.DRAINING)));
+    private static final EndpointList KNOWN = new EndpointList(7, true, List.of(box(Lifecycle.READY)));
+    private static final EndpointList DRAINED = new EndpointList(8, false, List.of(box(Lifecycle.DRAINING)));
     private final Counters counters = new Counters();
     private final Desk desk = new Desk(new Terms(250_000, 30 * SECOND, false, GRACE, 10 * SECOND, true, 4,
             List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
@@ -69,8 +69,8 @@
         }
     }
 
-    private static ModelBox box(Lifecycle state) {
-        return new ModelBox("s-1", "127.0.0.1:9001", new Replica(1, 0, 0, 1, 1, state, 0));
+    private static ModelServer box(Lifecycle state) {
+        return new ModelServer("s-1", "127.0.0.1:9001", new Replica(1, 0, 0, 1, 1, state, 0));
     }
 
     private void happens(Event event) {
@@ -98,7 +98,8 @@
             boolean news = drained && open.since() < DRAINED.version();
             if (news || now >= openedAt + open.longest()) {
                 open = null;
-                happens(new Event.ListCame(news ? DRAINED : new BoxList(drained ? 8 : 7, false, List.of())));
+                happens(new Event.ListCame(news ? DRAINED : new EndpointList(drained ? 8 : 7, false,
+                        List.of())));
             }
         }
     }
--- a/src/test/java/yewdock/BoundsTest.java
+++ b/src/test/java/yewdock/BoundsTest.java
@@ -9,7 +9,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
@@ -34,7 +34,7 @@
     /** The requests are for 2 tokens, so the module leaves them all open. */
     @Test
     void refusesBeyondItsMemoryAndTakesAgainWhenThereIsRoom() {
-        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        desk.reduce(new Event.Started(EndpointList.NOTHING, "127.0.0.1:8500"), 0);
         for (int client = 1; client <= 16; client++) {
             assertEquals(List.of(), ask(client, MEGABYTE));
         }
@@ -45,7 +45,7 @@
 
     @Test
     void refusesBeyondItsNumberOfRequests() {
-        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        desk.reduce(new Event.Started(EndpointList.NOTHING, "127.0.0.1:8500"), 0);
         IntStream.rangeClosed(1, 500).forEach(client -> assertEquals(List.of(), ask(client, 1)));
         assertEquals(List.of(new Effect.Refuse(501, 0)), ask(501, 1));
         assertEquals(1, counters.get("answers.refused_for_room"));
@@ -73,7 +73,7 @@
     void closesTheLongestQuietForNewcomers() {
         Desk small = new Desk(TERMS, new Bounds(4, 4, 4, MEGABYTE), counters,
                 InOrderModule::new);
-        small.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        small.reduce(new Event.Started(EndpointList.NOTHING, "127.0.0.1:8500"), 0);
         for (long client = 1; client <= 4; client++) {
             assertEquals(List.of(), small.reduce(new Event.ClientCame(client), client));
         }
@@ -91,7 +91,7 @@
     @Test
     void closesNoneWhoseRequestIsComing() {
         Desk small = new Desk(TERMS, new Bounds(3, 3, 3, MEGABYTE), counters, InOrderModule::new);
-        small.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        small.reduce(new Event.Started(EndpointList.NOTHING, "127.0.0.1:8500"), 0);
         for (long client = 1; client <= 3; client++) {
             small.reduce(new Event.ClientCame(client), client);
         }
@@ -109,7 +109,7 @@
     @Test
     void closesHalfSentRequestsInTheOrderOfTheirTime() {
         Desk desk = new Desk(TERMS, new Bounds(9, 9, 9, MEGABYTE), counters, InOrderModule::new);
-        desk.reduce(new Event.Started(BoxList.NOTHING, "127.0.0.1:8500"), 0);
+        desk.reduce(new Event.Started(EndpointList.NOTHING, "127.0.0.1:8500"), 0);
         desk.reduce(new Event.ClientCame(1), 1);
         desk.reduce(new Event.ClientCame(2), 2);
         desk.reduce(new Event.ClientQuiet(2), 1_000_000);
--- a/src/test/java/yewdock/BusyDiscoveryTest.java
+++ b/src/test/java/yewdock/BusyDiscoveryTest.java
@@ -13,12 +13,12 @@
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.Terms;
 
 /**
@@ -99,7 +99,7 @@
                 answers++;
                 has = version;
                 happens(new Event.ListCame(news ? list(version, false, drained ? Lifecycle.DRAINING
-                        : Lifecycle.READY) : new BoxList(version, false, List.of())));
+                        : Lifecycle.READY) : new EndpointList(version, false, List.of())));
             }
         }
 
@@ -122,8 +122,8 @@
                         Routing.AttemptBudget.NONE), new Routing.Prices(0, 0, 0, 0, 0));
     }
 
-    private static BoxList list(long version, boolean full, Lifecycle state) {
-        return new BoxList(version, full, List.of(new ModelBox("s-1", "127.0.0.1:9001",
+    private static EndpointList list(long version, boolean full, Lifecycle state) {
+        return new EndpointList(version, full, List.of(new ModelServer("s-1", "127.0.0.1:9001",
                 new Replica(1, 0, 0, 1, 1, state, 0))));
     }
 
--- a/src/test/java/yewdock/ChurnTest.java
+++ b/src/test/java/yewdock/ChurnTest.java
@@ -11,12 +11,12 @@
 import umberspread.Routing.Outcome;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.ModelRequest;
 import yewdock.desk.Terms;
 
@@ -60,8 +60,8 @@
         return desk.kept();
     }
 
-    private static ModelBox box(long id, Lifecycle state) {
-        return new ModelBox("s-" + id, "127.0.0.1:9001", new Replica(id, 0, 0, 1, 1, state, 0));
+    private static ModelServer box(long id, Lifecycle state) {
+        return new ModelServer("s-" + id, "127.0.0.1:9001", new Replica(id, 0, 0, 1, 1, state, 0));
     }
 
     private static <E extends Effect> E first(List<Effect> effects, Class<E> kind) {
@@ -98,7 +98,8 @@
 
     @Test
     void whatIsKeptReturnsToWhatItWas() {
-        happens(new Event.Started(new BoxList(1, true, List.of(box(1, Lifecycle.READY))), "127.0.0.1:8500"));
+        happens(new Event.Started(new EndpointList(1, true, List.of(box(1, Lifecycle.READY))),
+                "127.0.0.1:8500"));
         int atStart = atRest();
         int most = 0;
         for (int round = 0; round < ROUNDS; round++) {
@@ -107,7 +108,7 @@
             pass(STEP);
             if (round % 10 == 9) {
                 long old = round / 10 + 1;
-                happens(new Event.ListCame(new BoxList(old + 1, false,
+                happens(new Event.ListCame(new EndpointList(old + 1, false,
                         List.of(box(old + 1, Lifecycle.READY), box(old, Lifecycle.GONE)))));
             }
         }
--- a/src/test/java/yewdock/CopiesTest.java
+++ b/src/test/java/yewdock/CopiesTest.java
@@ -12,12 +12,12 @@
 import umberspread.Routing.Outcome;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.ModelRequest;
 import yewdock.desk.Terms;
 
@@ -68,15 +68,15 @@
         }
     }
 
-    private static ModelBox box(long id, Lifecycle state) {
-        return new ModelBox("s-" + id, "127.0.0.1:900" + id, new Replica(id, 0, 0, 1, 1, state, 0));
+    private static ModelServer box(long id, Lifecycle state) {
+        return new ModelServer("s-" + id, "127.0.0.1:900" + id, new Replica(id, 0, 0, 1, 1, state, 0));
     }
 
     private void start(boolean copies, boolean repeatable) {
         desk = new Desk(new Terms(250_000, 30_000_000, false, 500_000, 10_000_000, copies, MOST,
                 List.of(repeatable), List.of("chat"), 0),
                 new Bounds(40, 20, 20, 1 << 20), counters, Module::new);
-        happens(new Event.Started(new BoxList(1, true, List.of(box(1, Lifecycle.READY),
+        happens(new Event.Started(new EndpointList(1, true, List.of(box(1, Lifecycle.READY),
                 box(2, Lifecycle.READY), box(3, Lifecycle.READY))), "127.0.0.1:8500"));
         happens(new Event.ClientCame(1));
         happens(new Event.Asked(1, new ModelRequest("r1", 0, 0, false, 1, 1, 1, 0, 9, 6_000_000, 100)));
@@ -200,7 +200,7 @@
         start(true, true);
         up(1);
         asks(2);
-        happens(new Event.ListCame(new BoxList(2, false, List.of(box(2, Lifecycle.DRAINING)))));
+        happens(new Event.ListCame(new EndpointList(2, false, List.of(box(2, Lifecycle.DRAINING)))));
         up(2);
         happens(new Event.LineDown(2));
         asks(2);
@@ -212,7 +212,7 @@
     void theWinnersBoxMayDrainAndItsStreamGoesOn() {
         twoOut();
         piece(1);
-        happens(new Event.ListCame(new BoxList(2, false, List.of(box(1, Lifecycle.DRAINING)))));
+        happens(new Event.ListCame(new EndpointList(2, false, List.of(box(1, Lifecycle.DRAINING)))));
         piece(1);
         happens(new Event.Answered(1, Outcome.OK, true, 0, null));
         assertEquals(List.of("PassOn", "close 2", "PassOn", "close 1", "EndAnswer"), done);
--- a/src/test/java/yewdock/DiscoveryTermTest.java
+++ b/src/test/java/yewdock/DiscoveryTermTest.java
@@ -11,12 +11,12 @@
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.Terms;
 
 /**
@@ -30,8 +30,9 @@
     private static final long STEP = 20_000;
     private static final int SEEDS = 12;
     private static final int MANY_SEEDS = 200;
-    private static final BoxList KNOWN = new BoxList(7, true, List.of(server(Lifecycle.READY)));
-    private static final BoxList DRAINED = new BoxList(8, true, List.of(server(Lifecycle.DRAINING)));
+    private static final EndpointList KNOWN = new EndpointList(7, true, List.of(server(Lifecycle.READY)));
+    private static final EndpointList DRAINED = new EndpointList(8, true,
+            List.of(server(Lifecycle.DRAINING)));
 
     /** REFUSED stands for all that ends a call at once: a reset, 503, an answer that can't be read. */
     private enum Failure { REFUSED, SILENT }
@@ -45,8 +46,8 @@
                         Routing.AttemptBudget.NONE), new Routing.Prices(0, 0, 0, 0, 0));
     }
 
-    private static ModelBox server(Lifecycle state) {
-        return new ModelBox("s-1", "127.0.0.1:9001", new Replica(1, 0, 0, 1, 1, state, 0));
+    private static ModelServer server(Lifecycle state) {
+        return new ModelServer("s-1", "127.0.0.1:9001", new Replica(1, 0, 0, 1, 1, state, 0));
     }
 
     /** One router and its discovery. */
@@ -98,7 +99,8 @@
             boolean news = drained && open.since() < DRAINED.version();
             if (news || time >= openedAt + open.longest()) {
                 open = null;
-                happens(new Event.ListCame(news ? DRAINED : new BoxList(drained ? 8 : 7, false, List.of())));
+                happens(new Event.ListCame(news ? DRAINED : new EndpointList(drained ? 8 : 7, false,
+                        List.of())));
             }
         }
 
--- a/src/test/java/yewdock/OlderListsTest.java
+++ b/src/test/java/yewdock/OlderListsTest.java
@@ -12,20 +12,20 @@
 import umberspread.Routing.ListKind;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.Terms;
 
 /** Answers with lower versions than the list that is held: a replica that lags, or a service begun anew. */
 class OlderListsTest {
     private static final long SECOND = 1_000_000;
     private static final long STEP = 10_000;
-    private static final ModelBox FIRST = server(1, Lifecycle.READY);
-    private static final ModelBox SECOND_SERVER = server(2, Lifecycle.READY);
+    private static final ModelServer FIRST = server(1, Lifecycle.READY);
+    private static final ModelServer SECOND_SERVER = server(2, Lifecycle.READY);
 
     private final List<String> states = new ArrayList<>(List.of("", "", ""));
     private Desk desk;
@@ -55,20 +55,20 @@
         }
     }
 
-    private static ModelBox server(long id, Lifecycle state) {
-        return new ModelBox("s-" + id, "127.0.0.1:900" + id, new Replica(id, 0, 0, 1, 1, state, 0));
+    private static ModelServer server(long id, Lifecycle state) {
+        return new ModelServer("s-" + id, "127.0.0.1:900" + id, new Replica(id, 0, 0, 1, 1, state, 0));
     }
 
-    private void start(boolean pushed, long version, ModelBox... known) {
+    private void start(boolean pushed, long version, ModelServer... known) {
         start(pushed, 10 * SECOND, version, known);
     }
 
-    private void start(boolean pushed, long askWithin, long version, ModelBox... known) {
+    private void start(boolean pushed, long askWithin, long version, ModelServer... known) {
         desk = new Desk(new Terms(250_000, 30 * SECOND, pushed, SECOND / 2, askWithin, true, 4,
                 List.of(true), List.of("chat"), 0), new Bounds(40, 20, 20, 1 << 20), new Counters(),
                 Module::new);
-        happens(new Event.Started(new BoxList(version, true, List.of(known)), "127.0.0.1:8500"));
-        answer(new BoxList(version, false, List.of()));
+        happens(new Event.Started(new EndpointList(version, true, List.of(known)), "127.0.0.1:8500"));
+        answer(new EndpointList(version, false, List.of()));
     }
 
     private void happens(Event event) {
@@ -82,13 +82,13 @@
         }
     }
 
-    private void answer(BoxList list) {
+    private void answer(EndpointList list) {
         open = null;
         happens(new Event.ListCame(list));
     }
 
     /** Lets time pass; each call made meanwhile gets this answer at once. */
-    private void pass(long micros, BoxList each) {
+    private void pass(long micros, EndpointList each) {
         for (long until = now + micros; now < until;) {
             now += STEP;
             if (desk.nextDue() <= now) {
@@ -105,9 +105,9 @@
     void afterALowerVersionTheWholeListIsAskedForAtOnceAndADrainInItKept() {
         for (boolean pushed : new boolean[] {false, true}) {
             start(pushed, 40, FIRST, SECOND_SERVER);
-            answer(new BoxList(3, false, List.of()));
+            answer(new EndpointList(3, false, List.of()));
             assertEquals(-1, open.since());
-            answer(new BoxList(3, true, List.of(server(1, Lifecycle.DRAINING), SECOND_SERVER)));
+            answer(new EndpointList(3, true, List.of(server(1, Lifecycle.DRAINING), SECOND_SERVER)));
             assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
         }
     }
@@ -115,7 +115,7 @@
     @Test
     void aServerThatAnOlderWholeListDoesNotNameGetsNothingNew() {
         start(false, 40, FIRST, SECOND_SERVER);
-        answer(new BoxList(3, true, List.of(SECOND_SERVER)));
+        answer(new EndpointList(3, true, List.of(SECOND_SERVER)));
         assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
     }
 
@@ -123,13 +123,14 @@
     void aReplicaThatLagsPutsNothingBack() {
         for (boolean full : new boolean[] {false, true}) {
             start(false, 40, FIRST, SECOND_SERVER);
-            answer(new BoxList(41, false, List.of(server(1, Lifecycle.DRAINING))));
+            answer(new EndpointList(41, false, List.of(server(1, Lifecycle.DRAINING))));
             happens(new Event.ListFailed());
-            answer(new BoxList(39, full, List.of(FIRST, SECOND_SERVER)));
+            answer(new EndpointList(39, full, List.of(FIRST, SECOND_SERVER)));
             assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
-            pass(SECOND / 2, new BoxList(39, true, List.of(FIRST, SECOND_SERVER)));
+            pass(SECOND / 2, new EndpointList(39, true, List.of(FIRST, SECOND_SERVER)));
             assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
-            pass(3 * SECOND, new BoxList(41, true, List.of(server(1, Lifecycle.DRAINING), SECOND_SERVER)));
+            pass(3 * SECOND, new EndpointList(41, true, List.of(server(1, Lifecycle.DRAINING),
+                    SECOND_SERVER)));
             assertEquals(List.of("DRAINING", "READY"), states.subList(1, 3));
             assertTrue(open.since() == 41, "the watch goes on from " + open.since());
         }
@@ -140,12 +141,12 @@
         for (boolean pushed : new boolean[] {false, true}) {
             start(pushed, 40, FIRST);
             int before = calls;
-            answer(new BoxList(3, false, List.of()));
-            pass(3 * SECOND / 2, new BoxList(4, true, List.of(FIRST, SECOND_SERVER)));
+            answer(new EndpointList(3, false, List.of()));
+            pass(3 * SECOND / 2, new EndpointList(4, true, List.of(FIRST, SECOND_SERVER)));
             assertEquals(List.of("READY", "READY"), states.subList(1, 3));
             assertEquals(4, open.since());
             assertTrue(calls - before < 15, "calls: " + (calls - before));
-            answer(new BoxList(5, false, List.of(server(2, Lifecycle.DRAINING))));
+            answer(new EndpointList(5, false, List.of(server(2, Lifecycle.DRAINING))));
             assertEquals(List.of("READY", "DRAINING"), states.subList(1, 3));
         }
     }
@@ -154,8 +155,8 @@
     @Test
     void theRestAfterChangesInARowLeavesTimeToAsk() {
         start(false, SECOND / 2, 40, FIRST);
-        answer(new BoxList(41, false, List.of(SECOND_SERVER)));
-        answer(new BoxList(42, false, List.of(SECOND_SERVER)));
+        answer(new EndpointList(41, false, List.of(SECOND_SERVER)));
+        answer(new EndpointList(42, false, List.of(SECOND_SERVER)));
         long rested = now;
         while (open == null) {
             pass(STEP, null);
@@ -168,7 +169,7 @@
     void aLowerVersionAtAnotherAddressIsBelievedAtOnce() {
         start(false, 40, FIRST);
         happens(new Event.ListMoved("127.0.0.1:8501"));
-        answer(new BoxList(2, true, List.of(SECOND_SERVER)));
+        answer(new EndpointList(2, true, List.of(SECOND_SERVER)));
         assertEquals(List.of("GONE", "READY"), states.subList(1, 3));
         assertFalse(open.since() < 0);
     }
--- a/src/test/java/yewdock/PushedListTest.java
+++ b/src/test/java/yewdock/PushedListTest.java
@@ -12,12 +12,12 @@
 import umberspread.Routing.ListKind;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.ModelRequest;
 import yewdock.desk.Terms;
 
@@ -58,7 +58,7 @@
 
     /** Answers calls on the desk's clock, except while it is silent. */
     private final class Agent {
-        private BoxList list = new BoxList(7, true, List.of(box(1, Lifecycle.READY)));
+        private EndpointList list = new EndpointList(7, true, List.of(box(1, Lifecycle.READY)));
         private boolean silent;
         private boolean refusing;
         private boolean hasty;
@@ -84,13 +84,14 @@
             } else if (open.since() != list.version() || now >= openUntil) {
                 boolean whole = open.since() != list.version();
                 open = null;
-                happens(new Event.ListCame(whole ? list : new BoxList(list.version(), false, List.of())));
+                happens(new Event.ListCame(whole ? list : new EndpointList(list.version(), false,
+                        List.of())));
             }
         }
     }
 
-    private static ModelBox box(long id, Lifecycle state) {
-        return new ModelBox("s-" + id, "127.0.0.1:9001", new Replica(id, 0, 0, 1, 1, state, 0));
+    private static ModelServer box(long id, Lifecycle state) {
+        return new ModelServer("s-" + id, "127.0.0.1:9001", new Replica(id, 0, 0, 1, 1, state, 0));
     }
 
     private List<Effect> happens(Event event) {
@@ -122,7 +123,7 @@
     }
 
     private void drainBoxOne() {
-        agent.list = new BoxList(agent.list.version() + 1, true,
+        agent.list = new EndpointList(agent.list.version() + 1, true,
                 List.of(box(1, Lifecycle.DRAINING), box(2, Lifecycle.READY)));
     }
 
@@ -142,7 +143,7 @@
      */
     @Test
     void aNewProcessDoesNotActOnItsKnownListBeforeTheAgentHasAnswered() {
-        BoxList known = agent.list;
+        EndpointList known = agent.list;
         drainBoxOne();
         happens(new Event.Started(known, "127.0.0.1:8500"));
         assertFalse(desk.unready().isEmpty());
@@ -177,7 +178,7 @@
     /** What the configuration knew may be long past: the first call asks for all that came after it. */
     @Test
     void aChangeBetweenTheKnownListAndTheFirstWatchIsTold() {
-        BoxList known = agent.list;
+        EndpointList known = agent.list;
         drainBoxOne();
         happens(new Event.Started(known, "127.0.0.1:8500"));
         assertEquals(List.of(7L), agent.since);
@@ -215,7 +216,7 @@
         pass(10_000_000);
         int made = agent.calls.size() - before;
         assertTrue(made >= 10 && made <= 60, "calls in ten silent seconds: " + made);
-        agent.list = new BoxList(20, true, List.of(box(11, Lifecycle.READY), box(12, Lifecycle.READY),
+        agent.list = new EndpointList(20, true, List.of(box(11, Lifecycle.READY), box(12, Lifecycle.READY),
                 box(13, Lifecycle.READY)));
         agent.silent = false;
         pass(GRACE);
--- a/src/test/java/yewdock/daemon/GenerationsSimTest.java
+++ b/src/test/java/yewdock/daemon/GenerationsSimTest.java
@@ -21,12 +21,12 @@
 import umberspread.Routing.Outcome;
 import umberspread.Routing.Replica;
 import yewdock.desk.Bounds;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Counters;
 import yewdock.desk.Desk;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.ModelRequest;
 import yewdock.desk.Terms;
 import yewdock.platform.Config;
@@ -221,12 +221,12 @@
             }
         }
 
-        private BoxList list(long since) {
-            List<ModelBox> boxes = new ArrayList<>();
-            boxStates.forEach((id, state) -> boxes.add(new ModelBox("s-" + id, "127.0.0.1:" + (9000 + id),
+        private EndpointList list(long since) {
+            List<ModelServer> boxes = new ArrayList<>();
+            boxStates.forEach((id, state) -> boxes.add(new ModelServer("s-" + id, "127.0.0.1:" + (9000 + id),
                     new Replica(id, 0, 0, 0, 1, state.equals("up") ? Lifecycle.READY : Lifecycle.DRAINING,
                             0))));
-            return new BoxList(version, since < 0, boxes);
+            return new EndpointList(version, since < 0, boxes);
         }
 
         private void answer(Gen g, long since, long wait, long call, boolean force) {
@@ -235,7 +235,7 @@
             }
             if (version > since || force) {
                 told();
-                BoxList list = list(since);
+                EndpointList list = list(since);
                 at(random.nextLong(1_000), () -> g.happened(new Event.ListCame(list)));
                 return;
             }
--- a/src/test/java/yewdock/daemon/StatesTest.java
+++ b/src/test/java/yewdock/daemon/StatesTest.java
@@ -13,9 +13,9 @@
 import umberspread.Memory;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Holdings;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 import yewdock.desk.OtherNews;
 import yewdock.wire.State;
 
@@ -28,7 +28,8 @@
             List.of(5L, 0L), List.of(1, 0), 900, 2, 1, 800, 50, 700, 600)),
             List.of(new Memory.OfKey(42, 3.5, 4, 0)), List.of(11.0));
     private static final Holdings HELD = new Holdings(List.of("x", "y"), List.of(new OtherNews.Sent(3, 7)),
-            new BoxList(41, true, List.of(new ModelBox("s-7", "127.0.0.1:9001", new Replica(7, 1, 2, 3, 1.5,
+            new EndpointList(41, true, List.of(new ModelServer("s-7", "127.0.0.1:9001", new Replica(7, 1, 2,
+                    3, 1.5,
             Lifecycle.DRAINING, 123)))), "127.0.0.1:8500", Map.of(7L, 2_000L));
 
     private static State state() {
--- a/src/test/java/yewdock/desk/KnownBoxesTest.java
+++ b/src/test/java/yewdock/desk/KnownServersTest.java
@@ -11,17 +11,17 @@
 import umberspread.Routing.Replica;
 
 /** What operators say of boxes, over what the list says. */
-class KnownBoxesTest {
+class KnownServersTest {
     private static final long COLD = 8_700_000;
     private long now = 1_000_000_000L;
-    private final KnownBoxes boxes = new KnownBoxes(() -> now, COLD);
+    private final KnownServers boxes = new KnownServers(() -> now, COLD);
 
-    private static ModelBox box(String address, Lifecycle lifecycle, long startedAt) {
-        return new ModelBox("s-1", address, new Replica(1, 0, 0, 0, 1, lifecycle, startedAt));
+    private static ModelServer box(String address, Lifecycle lifecycle, long startedAt) {
+        return new ModelServer("s-1", address, new Replica(1, 0, 0, 0, 1, lifecycle, startedAt));
     }
 
-    private void list(boolean full, ModelBox... all) {
-        boxes.keep(new BoxList(1, full, List.of(all)));
+    private void list(boolean full, ModelServer... all) {
+        boxes.keep(new EndpointList(1, full, List.of(all)));
     }
 
     private Lifecycle state() {
--- a/src/test/java/yewdock/faults/SimulatedDiscovery.java
+++ b/src/test/java/yewdock/faults/SimulatedDiscovery.java
@@ -8,10 +8,10 @@
 import java.util.TreeMap;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Replica;
-import yewdock.desk.BoxList;
+import yewdock.desk.EndpointList;
 import yewdock.desk.Effect;
 import yewdock.desk.Event;
-import yewdock.desk.ModelBox;
+import yewdock.desk.ModelServer;
 
 /** Discovery for one router on a clock of the test's, with the faults of {@link ScriptedDiscovery}. */
 final class SimulatedDiscovery {
@@ -26,7 +26,7 @@
     private final Deque<Fault> faults = new ArrayDeque<>();
     private long version = 100;
     private boolean reachable = true;
-    private BoxList lagging;
+    private EndpointList lagging;
     private Effect.AskList call;
     private long calledAt;
     private Fault fault;
@@ -88,14 +88,14 @@
     }
 
     /** The whole list as it is. */
-    BoxList whole() {
-        List<ModelBox> servers = new ArrayList<>();
+    EndpointList whole() {
+        List<ModelServer> servers = new ArrayList<>();
         entries.forEach((id, entry) -> {
             if (entry.state != EndpointState.REMOVED) {
                 servers.add(server(id, entry.state));
             }
         });
-        return new BoxList(version, true, servers);
+        return new EndpointList(version, true, servers);
     }
 
     /** What has come of the open call by now. */
@@ -109,7 +109,7 @@
                     : List.of(new Event.DiscoveryLost(), new Event.ListFailed());
         }
         if (lagging != null) {
-            BoxList late = lagging;
+            EndpointList late = lagging;
             lagging = null;
             call = null;
             return List.of(new Event.ListCame(late));
@@ -120,29 +120,30 @@
         return List.of(new Event.ListCame(write()));
     }
 
-    private BoxList write() {
+    private EndpointList write() {
         long since = call.since();
         call = null;
         if (since < 0) {
             entries.forEach((id, entry) -> judge.written(0, name(id), entry.state));
             return whole();
         }
-        List<ModelBox> changed = new ArrayList<>();
+        List<ModelServer> changed = new ArrayList<>();
         entries.forEach((id, entry) -> {
             if (entry.changedIn > since) {
                 changed.add(server(id, entry.state));
                 judge.written(0, name(id), entry.state);
             }
         });
-        return new BoxList(version, false, changed);
+        return new EndpointList(version, false, changed);
     }
 
-    private static ModelBox server(long id, EndpointState state) {
+    private static ModelServer server(long id, EndpointState state) {
         Lifecycle lifecycle = switch (state) {
             case UP -> Lifecycle.READY;
             case DRAINING -> Lifecycle.DRAINING;
             case REMOVED -> Lifecycle.GONE;
         };
-        return new ModelBox(name(id), "127.0.0.1:" + (9000 + id), new Replica(id, 0, 0, 1, 1, lifecycle, 0));
+        return new ModelServer(name(id), "127.0.0.1:" + (9000 + id), new Replica(id, 0, 0, 1, 1, lifecycle,
+                0));
     }
 }
--- a/src/test/java/yewdock/platform/BoxListsTest.java
+++ b/src/test/java/yewdock/platform/EndpointListReaderTest.java
@@ -10,18 +10,19 @@
 import org.json.JSONException;
 import org.junit.jupiter.api.Test;
 import umberspread.Routing.Lifecycle;
-import yewdock.desk.BoxList;
-import yewdock.desk.ModelBox;
+import yewdock.desk.EndpointList;
+import yewdock.desk.ModelServer;
 
 /** Entries that can't be used: skipped and logged, but never their server's drain or removal. */
-class BoxListsTest {
+class EndpointListReaderTest {
     private static final String GOOD =
             "\"addr\":\"127.0.0.1:9001\",\"zone\":\"a\",\"kind\":\"big\",\"cell\":1";
     private final List<String> log = new ArrayList<>();
-    private final BoxLists lists = lists();
+    private final EndpointListReader lists = lists();
 
-    private BoxLists lists() {
-        return new BoxLists(new Names(Map.of(), Map.of(), Map.of("a", 0), Map.of("big", 0)), log::add);
+    private EndpointListReader lists() {
+        return new EndpointListReader(new Names(Map.of(), Map.of(), Map.of("a", 0), Map.of("big", 0)),
+                log::add);
     }
 
     private static String entry(String id, String state, String fields) {
@@ -29,13 +30,13 @@
                 + fields + "}";
     }
 
-    private List<ModelBox> read(String... entries) {
+    private List<ModelServer> read(String... entries) {
         return lists.read("{\"version\":9,\"full\":false,\"servers\":[" + String.join(",", entries) + "]}")
                 .boxes();
     }
 
     private Lifecycle stateOf(String... entries) {
-        List<ModelBox> servers = read(entries);
+        List<ModelServer> servers = read(entries);
         assertEquals(1, servers.size(), servers.toString());
         return servers.get(0).replica().lifecycle();
     }
@@ -55,7 +56,7 @@
     @Test
     void anUnusableEntryThatIsUpIsSkippedAndTheRestCounts() {
         assertEquals(List.of("s-2"), read(entry("s-1", "up", "\"addr\":\"here\""), "7",
-                entry("s-2", "up", GOOD)).stream().map(ModelBox::name).toList());
+                entry("s-2", "up", GOOD)).stream().map(ModelServer::name).toList());
         assertEquals(2, log.size());
     }
 
@@ -74,13 +75,13 @@
     /** "s-1" and "b-1" hold one number: a later list must not tell the one's drain of the other. */
     @Test
     void namesOfOneNumberKeepTheirIdsAlsoFromTheListOfTheStart() {
-        List<ModelBox> first = read(entry("s-1", "up", GOOD), entry("b-1", "up", GOOD));
+        List<ModelServer> first = read(entry("s-1", "up", GOOD), entry("b-1", "up", GOOD));
         assertNotEquals(first.get(0).id(), first.get(1).id());
         assertEquals(first.get(1).id(), read(entry("b-1", "draining", GOOD)).get(0).id());
         read(entry("s-1", "removed", ""));
         assertEquals(first.get(1).id(), read(entry("b-1", "draining", GOOD)).get(0).id());
-        BoxLists later = lists();
-        later.remember(new BoxList(9, true, first));
+        EndpointListReader later = lists();
+        later.remember(new EndpointList(9, true, first));
         assertEquals(first.get(1).id(), later.read("{\"version\":10,\"full\":false,\"servers\":["
                 + entry("b-1", "draining", GOOD) + "]}").boxes().get(0).id());
     }
