--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -94,15 +94,11 @@
         try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 3, SERVERS)) {
             pass(1_500);
             for (int round = 0; round < 3; round++) {
-                for (int router = 0; router < 3; router++) {
-                    rig.router(router).signal("STOP");
-                }
+                rig.signalAll("STOP");
                 pass(100);
                 rig.setEverywhere(round, EndpointState.DRAINING);
                 pass(GRACE_MILLIS + 1_000);
-                for (int router = 0; router < 3; router++) {
-                    rig.router(router).signal("CONT");
-                }
+                rig.signalAll("CONT");
                 pass(1_500);
             }
             assertKept(rig);
@@ -115,17 +111,13 @@
     void aPausedRouterAsksForWhatItsWatchDidNotBring(boolean pushed) throws Exception {
         try (FaultRig rig = new FaultRig(folder, pushed, GRACE_MILLIS, 3, SERVERS)) {
             pass(1_500);
-            for (int router = 0; router < 3; router++) {
-                rig.router(router).signal("STOP");
-            }
+            rig.signalAll("STOP");
             pass(100);
             rig.setEverywhere(0, EndpointState.DRAINING);
             pass(300);
             rig.setEverywhere(1, EndpointState.DRAINING);
             pass(pushed ? GRACE_MILLIS + 500 : 6_000 + GRACE_MILLIS + 500);
-            for (int router = 0; router < 3; router++) {
-                rig.router(router).signal("CONT");
-            }
+            rig.signalAll("CONT");
             pass(1_500);
             assertKept(rig);
         }
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -96,6 +96,13 @@
         return traffic.get(router).answered();
     }
 
+    /** Sends a signal to each router. */
+    void signalAll(String name) throws Exception {
+        for (RouterProcess router : routers) {
+            router.signal(name);
+        }
+    }
+
     /** Tells each router's discovery that a server has this state. */
     void setEverywhere(int server, EndpointState state) {
         for (ScriptedDiscovery discovery : discoveries) {
