--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -72,10 +72,6 @@
         traffic.set(router, new Traffic(router, routers.get(router).port(), CLIENTS_PER_ROUTER));
     }
 
-    int routerCount() {
-        return routers.size();
-    }
-
     DrainJudge judge() {
         return judge;
     }
@@ -92,10 +88,6 @@
         return routers.get(index);
     }
 
-    int answered(int router) {
-        return traffic.get(router).answered();
-    }
-
     /** Sends a signal to each router. */
     void signalAll(String name) throws Exception {
         for (RouterProcess router : routers) {
--- a/src/test/java/yewdock/faults/RecordingServer.java
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -87,9 +86,4 @@
             socket.close();
         }
     }
-
-    @Override
-    public String toString() {
-        return String.format(Locale.ROOT, "%s at %s", name, address());
-    }
 }
--- a/src/test/java/yewdock/faults/RouterProcess.java
+++ b/src/test/java/yewdock/faults/RouterProcess.java
@@ -65,10 +65,6 @@
         return configuration;
     }
 
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
     /** Sends a signal by its name, such as STOP, CONT or HUP. */
     void signal(String name) throws Exception {
         int exit = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
--- a/src/test/java/yewdock/faults/ScriptedDiscovery.java
+++ b/src/test/java/yewdock/faults/ScriptedDiscovery.java
@@ -37,14 +37,11 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Deque<CallFault> faults = new ArrayDeque<>();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    /** Connections on which nothing is answered any more. */
-    private final Set<Socket> lost = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
     private final int port;
     private long version = 100;
     private boolean reachable = true;
     private String staleAnswer;
-    private int calls;
 
     ScriptedDiscovery(int router, DrainJudge judge) throws IOException {
         this.router = router;
@@ -77,14 +74,6 @@
         faults.addAll(next);
     }
 
-    /** Watches that are open now are never answered. */
-    synchronized void loseOpenWatches() {
-        for (Socket socket : open) {
-            lost.add(socket);
-        }
-        notifyAll();
-    }
-
     /** Watches that are open now end with a reset. */
     void resetOpenWatches() {
         open.forEach(ScriptedDiscovery::reset);
@@ -117,11 +106,6 @@
         judge.reachable(router);
     }
 
-    /** How many calls have come. */
-    synchronized int calls() {
-        return calls;
-    }
-
     synchronized long version() {
         return version;
     }
@@ -157,14 +141,12 @@
             // the router, or the test, ended the connection
         } finally {
             open.remove(socket);
-            lost.remove(socket);
         }
     }
 
     private void answer(Socket socket, String target) throws IOException {
         CallFault fault;
         synchronized (this) {
-            calls++;
             fault = faults.poll();
         }
         if (fault != null) {
@@ -178,8 +160,8 @@
     }
 
     private synchronized void write(Socket socket, long since, long until) throws IOException {
-        for (long left = until - System.nanoTime(); staleAnswer == null && version <= since && left > 0
-                || lost.contains(socket) && !listener.isClosed(); left = until - System.nanoTime()) {
+        for (long left = until - System.nanoTime(); staleAnswer == null && version <= since && left > 0;
+                left = until - System.nanoTime()) {
             pause(Math.max(1, Math.min(left / 1_000_000, 50)));
         }
         if (staleAnswer != null) {
--- a/src/test/java/yewdock/faults/Traffic.java
+++ b/src/test/java/yewdock/faults/Traffic.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Clients of one router, each with one request after the other over a connection of its own. */
@@ -20,7 +19,6 @@
 
     private final int router;
     private final int port;
-    private final AtomicInteger answered = new AtomicInteger();
     private volatile boolean closed;
 
     Traffic(int router, int port, int clients) {
@@ -33,11 +31,6 @@
         }
     }
 
-    /** How many requests were answered, in whatever way. */
-    int answered() {
-        return answered.get();
-    }
-
     private void ask() {
         while (!closed) {
             try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
@@ -46,7 +39,6 @@
                 while (!closed) {
                     socket.getOutputStream().write(request());
                     readAnswer(socket.getInputStream());
-                    answered.incrementAndGet();
                     Thread.sleep(BETWEEN_MILLIS);
                 }
             } catch (IOException e) {
