Tests: ports of daemons are reserved outside the kernel's own range

Cause: StoreProof took a port by opening a listener on port 0 and closing it, then gave the number to a daemon that it kills and starts again. Between two lives nobody listens there, and the number lies in the range from which the kernel serves port 0 and outgoing connections (32768 to 60999). Since two classes of fault tests run beside the others, their connections can take it. Ruled out: a daemon left over from the life before, since the failing start is the first one (the store says records=0).

Lines at fault: StoreProof.run (new ServerSocket(0) closed before use), and the same in LiveProof.free, AgreedInstallation, StoreDaemonTest.free; ScriptedDiscovery, which closes its listener and opens it again on the same port.

Change: standin.ListenPorts reserves ports below the kernel's range, none twice in a process. The proofs and tests use it.

--- a/src/main/java/yewdock/proof/AgreedInstallation.java
+++ b/src/main/java/yewdock/proof/AgreedInstallation.java
@@ -3,7 +3,6 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import yewdock.standin.Fleet;
+import yewdock.standin.ListenPorts;
 import yewdock.standin.Relay;
 
 /** Daemons that agree, each a process with a store of its own, and a relay between any two of them. */
@@ -45,15 +45,9 @@
         clients = new int[size];
         relays = new Relay[size][size];
         routers = new Router[size];
-        List<ServerSocket> taken = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            taken.add(new ServerSocket(0));
-            taken.add(new ServerSocket(0));
-            ports[i] = taken.get(2 * i).getLocalPort();
-            clients[i] = taken.get(2 * i + 1).getLocalPort();
-        }
-        for (ServerSocket socket : taken) {
-            socket.close();
+            ports[i] = ListenPorts.reserve();
+            clients[i] = ListenPorts.reserve();
         }
         // of two instances the one whose name comes first calls the other
         for (int i = 0; i < size; i++) {
--- a/src/main/java/yewdock/proof/LiveProof.java
+++ b/src/main/java/yewdock/proof/LiveProof.java
@@ -1,9 +1,7 @@
 package yewdock.proof;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,6 +18,7 @@
 import yewdock.model.Scenario;
 import yewdock.model.Score;
 import yewdock.model.World;
+import yewdock.standin.ListenPorts;
 import yewdock.standin.LiveDay;
 
 /** One day on sockets, through real routers, and the same day in the model, side by side. */
@@ -57,7 +56,7 @@
         try (LiveDay day = new LiveDay(live)) {
             List<InetSocketAddress> at = new ArrayList<>();
             for (int r = 0; r < live.routers().size(); r++) {
-                InetSocketAddress address = free();
+                InetSocketAddress address = new InetSocketAddress("127.0.0.1", ListenPorts.reserve());
                 Path config = Files.writeString(folder.resolve("router-" + r + ".json"),
                         live.configuration(r, "127.0.0.1:" + address.getPort(), day.list()));
                 routers.add(start(config, folder.resolve("router-" + r + ".log")));
@@ -115,12 +114,6 @@
         return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     private static void awaitReady(InetSocketAddress at) throws IOException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(UP_SECONDS);
         while (System.nanoTime() < end) {
--- a/src/main/java/yewdock/proof/StoreProof.java
+++ b/src/main/java/yewdock/proof/StoreProof.java
@@ -1,7 +1,6 @@
 package yewdock.proof;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,6 +14,7 @@
 import org.HdrHistogram.Histogram;
 import yewdock.standin.Fleet;
 import yewdock.standin.Ledger;
+import yewdock.standin.ListenPorts;
 import yewdock.standin.Load;
 
 /**
@@ -57,10 +57,7 @@
         List<String> broken = new ArrayList<>();
         String store = "store {\n  folder = \"" + folder.resolve("store") + "\"\n}\n";
         SplittableRandom random = new SplittableRandom(seed);
-        int port;
-        try (ServerSocket free = new ServerSocket(0)) {
-            port = free.getLocalPort();
-        }
+        int port = ListenPorts.reserve();
         try (Fleet fleet = new Fleet(BOXES, SLOTS)) {
             String configuration = fleet.configuration("127.0.0.1:" + port);
             AtomicBoolean over = new AtomicBoolean();
--- a/src/test/java/yewdock/StoreDaemonTest.java
+++ b/src/test/java/yewdock/StoreDaemonTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -22,6 +21,7 @@
 import yewdock.proof.StoreProof;
 import yewdock.proof.UpgradeProof;
 import yewdock.standin.Fleet;
+import yewdock.standin.ListenPorts;
 import yewdock.standin.Load;
 
 /** Daemons in processes of their own, with stores and copies, killed and cut off. */
@@ -35,12 +35,6 @@
         return "store {\n  folder = \"" + where + "\"\n  retry_s = 0.1\n}\n";
     }
 
-    private static int free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private Router start(Fleet fleet, String name, String more) throws IOException {
         return Router.start(MAIN, Files.createDirectories(folder.resolve(name)),
                 fleet.configuration("127.0.0.1:0"), UpgradeProof.QUICK_STAGES, more);
@@ -188,7 +182,7 @@
     /** Two instances; a mark on one acts on the other; what is no peer is turned away; one loses its disk. */
     @Test
     void instancesKeepEachOthersMarks() throws Exception {
-        int[] ports = {free(), free()};
+        int[] ports = {ListenPorts.reserve(), ListenPorts.reserve()};
         String[] blocks = new String[2];
         for (int i = 0; i < 2; i++) {
             blocks[i] = "copies {\n  cluster = \"t\"\n  instance = \"i" + i + "\"\n  listen = \"127.0.0.1:"
--- a/src/test/java/yewdock/faults/ScriptedDiscovery.java
+++ b/src/test/java/yewdock/faults/ScriptedDiscovery.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import yewdock.standin.ListenPorts;
 
 /**
  * A discovery service for one router, which fails as a test says: single calls, its whole process, its
@@ -46,8 +47,8 @@
     ScriptedDiscovery(int router, DrainJudge judge) throws IOException {
         this.router = router;
         this.judge = judge;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        port = listener.getLocalPort();
+        port = ListenPorts.reserve();
+        listener = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
         accept(listener);
     }
 
