Discovery: a watch that is answered late counts, beside the call made anew

Cause: DiscoveryWatch.ask hung up a watch when its patience was over. A busy service may answer a watch up to 2 s after its wait, and refuse a new call: giving up the watch gave up the only call that would have been answered.

Ruled out: waiting longer before the call anew (a watch that has fallen silent must be replaced within 6 s and the grace); a longer backoff after 503 (BusyDiscoveryTest fails from three times on).

Change: where the list is asked, an overdue watch is set aside (Effect.SetListCallAside) and stays open while the call anew goes out on a connection of its own. The first answer counts, its connection goes on, the other is given up (Front.listAnswered). The end of the call set aside is no failed call. Versions tell whether an answer follows what is held. DiscoveryConnection.ListFailed and ListCame are told through the front, which knows the two connections apart. Counter list.late_answers.

--- a/src/main/java/yewdock/desk/DiscoveryWatch.java
+++ b/src/main/java/yewdock/desk/DiscoveryWatch.java
@@ -211,17 +211,20 @@
         effects.accept(new Effect.AskList(address, versions.since(), wait));
         timers.at(calledAt + wait + patience, () -> {
             if (out && call == mine) {
-                effects.accept(new Effect.HangUpList());
                 silent(wait > 0);
             }
         });
     }
 
     /**
-     * A list that is asked has said nothing for too long: that call is broken, not the service, and what it
-     * missed counts as told soon. Asked anew at once; a service that stays silent is the module's to spare.
+     * A list that is asked has said nothing for too long: that call is broken, or the service is late, and
+     * what was missed counts as told soon. Asked anew at once; a service that stays silent is the module's to
+     * spare. A watch stays open meanwhile: a service with more callers than turns may answer it late and
+     * refuse the new call.
      */
     private void silent(boolean watched) {
+        boolean mayComeLate = watched && !terms.listPushed();
+        effects.accept(mayComeLate ? new Effect.SetListCallAside() : new Effect.HangUpList());
         if (!terms.listPushed() && silences < SILENT_CALLS) {
             silences++;
             counters.add("list.silent");
--- a/src/main/java/yewdock/desk/Effect.java
+++ b/src/main/java/yewdock/desk/Effect.java
@@ -44,7 +44,14 @@
     record AskList(String address, long since, long longest) implements Effect {
     }
 
-    /** Give up the call for the list. */
+    /**
+     * Leave the call for the list open beside the next one: the first answer of the two counts, and its
+     * connection is the one that goes on. A call that was set aside before is given up.
+     */
+    record SetListCallAside() implements Effect {
+    }
+
+    /** Give up the call for the list, but not the one that was set aside. */
     record HangUpList() implements Effect {
     }
 
--- a/src/main/java/yewdock/platform/DiscoveryConnection.java
+++ b/src/main/java/yewdock/platform/DiscoveryConnection.java
@@ -79,27 +79,37 @@
     }
 
     private void whole() {
-        boolean good = head.status() == OK;
-        EndpointList list = good ? lists.read(body.toString(StandardCharsets.UTF_8)) : null;
+        if (head.status() != OK) {
+            out = false;
+            closeUnlessKept();
+            front.listFailed(this);
+            return;
+        }
+        EndpointList list = lists.read(body.toString(StandardCharsets.UTF_8));
+        out = false;
+        front.listAnswered(this);
+        closeUnlessKept();
+        front.happened(new Event.ListCame(list));
+    }
+
+    private void closeUnlessKept() {
         if (!head.keepsAlive()) {
             gone = true;
             front.listClosed(this);
             wire.close();
         }
-        out = false;
-        front.happened(good ? new Event.ListCame(list) : new Event.ListFailed());
     }
 
     /** What the end of the connection makes of the call: a body without a length is whole, if it reads so. */
-    private Event endOfConnection() {
+    private EndpointList endOfConnection() {
         if (!reader.endsWithConnection() || head.status() != OK) {
-            return new Event.ListFailed();
+            return null;
         }
         try {
-            return new Event.ListCame(lists.read(body.toString(StandardCharsets.UTF_8)));
+            return lists.read(body.toString(StandardCharsets.UTF_8));
         } catch (JSONException e) {
             front.log("the box list's answer is malformed: " + e.getMessage());
-            return new Event.ListFailed();
+            return null;
         }
     }
 
@@ -141,16 +151,23 @@
     /** A close between calls only means that the next call needs a new connection. */
     @Override
     public void down() {
-        if (!gone) {
-            gone = true;
+        if (gone) {
+            return;
+        }
+        gone = true;
+        EndpointList last = endOfConnection();
+        if (last == null) {
             front.listClosed(this);
-            Event end = endOfConnection();
-            if (end instanceof Event.ListFailed) {
-                front.happened(new Event.DiscoveryLost());
-            }
+            front.happened(new Event.DiscoveryLost());
             if (out) {
-                front.happened(end);
+                front.listFailed(this);
             }
+        } else if (out) {
+            front.listAnswered(this);
+            front.listClosed(this);
+            front.happened(new Event.ListCame(last));
+        } else {
+            front.listClosed(this);
         }
     }
 }
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -37,6 +37,8 @@
     private final Map<Long, ClientSide> clients = new LinkedHashMap<>();
     private final Map<Long, BoxSide> lines = new HashMap<>();
     private DiscoveryConnection list;
+    /** Its call was late and has been made anew on the other connection; the one answered first stays. */
+    private DiscoveryConnection listAside;
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean working;
     private boolean stopAsked;
@@ -118,10 +120,10 @@
         // A request half read when the desk owes nothing would be lost by stopping now.
         if (stopAsked && clients.values().stream().noneMatch(ClientSide::midway)) {
             stopAsked = false;
-            if (list != null && desk.lettingGo()) {
+            if (desk.lettingGo()) {
                 // what the list tells from now on would be told to nobody
-                list.hangUp();
-                list = null;
+                hangUpList();
+                hangUpListAside();
             }
             wires.stop();
         }
@@ -173,10 +175,9 @@
         } else if (effect instanceof Effect.AskList e) {
             askList(e);
         } else if (effect instanceof Effect.HangUpList) {
-            if (list != null) {
-                list.hangUp();
-                list = null;
-            }
+            hangUpList();
+        } else if (effect instanceof Effect.SetListCallAside) {
+            setListCallAside();
         } else if (effect instanceof Effect.CloseClient e) {
             client(e.client(), ClientSide::giveUp);
         } else if (effect instanceof Effect.TurnDownTwin e) {
@@ -206,8 +207,10 @@
     private void askList(Effect.AskList e) {
         if (list != null && !list.leadsTo(e.address())) {
             // between two calls the connection to where the list was before is still there
-            list.hangUp();
-            list = null;
+            hangUpList();
+        }
+        if (listAside != null && !listAside.leadsTo(e.address())) {
+            hangUpListAside();
         }
         if (list == null) {
             list = wires.connectToDiscovery(e.address(),
@@ -216,6 +219,47 @@
         list.ask(e.since(), e.longest());
     }
 
+    private void setListCallAside() {
+        hangUpListAside();
+        listAside = list;
+        list = null;
+    }
+
+    private void hangUpList() {
+        if (list != null) {
+            list.hangUp();
+            list = null;
+        }
+    }
+
+    private void hangUpListAside() {
+        if (listAside != null) {
+            listAside.hangUp();
+            listAside = null;
+        }
+    }
+
+    /** Of two calls for the list the first that is answered counts, and the other is given up. */
+    void listAnswered(DiscoveryConnection side) {
+        if (side == listAside) {
+            counters.add("list.late_answers");
+            hangUpList();
+            list = side;
+            listAside = null;
+        } else {
+            hangUpListAside();
+        }
+    }
+
+    /** A call for the list has failed; where it was set aside, another one is out or will be. */
+    void listFailed(DiscoveryConnection side) {
+        if (side == listAside) {
+            hangUpListAside();
+        } else {
+            happened(new Event.ListFailed());
+        }
+    }
+
     void listClosed(DiscoveryConnection side) {
         if (list == side) {
             list = null;
--- a/src/test/java/yewdock/BusyDiscoveryTest.java
+++ b/src/test/java/yewdock/BusyDiscoveryTest.java
@@ -48,6 +48,8 @@
     private final class Router {
         private final Desk desk;
         private Effect.AskList open;
+        /** A watch that was given no answer in time, and has not been given up. */
+        private Effect.AskList aside;
         private long turnAt;
         private long openedAt;
         private boolean refused;
@@ -77,6 +79,9 @@
                         busyUntil = Math.max(time, busyUntil) + work;
                         turnAt = busyUntil;
                     }
+                } else if (effect instanceof Effect.SetListCallAside) {
+                    aside = open;
+                    open = null;
                 } else if (effect instanceof Effect.HangUpList) {
                     open = null;
                 }
@@ -103,6 +108,17 @@
             }
         }
 
+        /** The service has come to the watch that it answers late. */
+        void lateWatchAnswered() {
+            if (aside != null) {
+                aside = null;
+                open = null;
+                answers++;
+                has = version;
+                happens(new Event.ListCame(list(version, false, Lifecycle.DRAINING)));
+            }
+        }
+
         /** For how long it has not heard of something. */
         long behind() {
             return time - oldSince.getOrDefault(has, time);
@@ -236,4 +252,22 @@
             assertEquals(0, all.stream().filter(r -> !r.knows()).count(), "not told in time, seed " + seed);
         }
     }
+
+    /** The service has no turn for new calls, and answers open watches up to 2 s after their wait. */
+    @Test
+    void aWatchThatIsAnsweredLateCountsThoughTheCallMadeAnewFails() {
+        for (int seed = 0; seed < 10; seed++) {
+            List<Router> all = routers(seed, 6);
+            pass(all, time + 8 * SECOND);
+            drained = true;
+            changes();
+            long answeredAt = time + 6 * SECOND + MOST_WAIT / 2;
+            all.forEach(r -> r.silent = true);
+            busyUntil = Long.MAX_VALUE / 2;
+            pass(all, answeredAt);
+            assertEquals(0, all.stream().filter(Router::knows).count());
+            all.forEach(Router::lateWatchAnswered);
+            assertEquals(0, all.stream().filter(r -> !r.knows()).count(), "given up, seed " + seed);
+        }
+    }
 }
