Clients' time and ends count while the process stands still or a request waits

Ruled out: suspended reads; only servers' connections are suspended (Effect.HoldLine).

Change: bytes of clients carry the time at which they came at the earliest, and a request's time runs from its first byte. A client's connection is read to its end (up to 1 MiB) before anything of it is passed on; if the end was read, nothing is. Ends of clients are urgent like news of discovery, and go before a task that was taken before a pause. An attempt is not begun over 0.1 s after its decision. The dispatcher sleeps at most 0.1 s, so that a pause within its sleep is seen.

GoneClientTest is made stricter where it counted tasks: it waits for as many ends as clients, and for the request to be taken before bytes are sent behind it (it is no longer taken otherwise).

--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -22,8 +22,10 @@
     private final long id;
     private final Wire wire;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.REQUEST, this);
-    private final Deque<ByteBuffer> ahead = new ArrayDeque<>();
+    private final Deque<Arrived> ahead = new ArrayDeque<>();
     private int aheadBytes;
+    /** When the first byte came of the request that is read: its client's time runs since before that. */
+    private long requestArrivedAt;
     private Head head;
     private ByteArrayOutputStream body;
     private ClientRequest request;
@@ -39,6 +41,10 @@
     /** Whether the client may still be sending what was not taken. */
     private boolean turnedDown;
 
+    /** Bytes from the client, and when they came. */
+    private record Arrived(ByteBuffer bytes, long at) {
+    }
+
     ClientSide(Front front, long id, Wire wire) {
         this.front = front;
         this.id = id;
@@ -56,10 +62,15 @@
 
     @Override
     public void received(ByteBuffer bytes) {
+        received(bytes, front.now());
+    }
+
+    @Override
+    public void received(ByteBuffer bytes, long arrivedAt) {
         if (closing) {
             return;
         }
-        ahead.add(bytes);
+        ahead.add(new Arrived(bytes, arrivedAt));
         aheadBytes += bytes.remaining();
         readOn();
         if (aheadBytes > MOST_AHEAD && busy) {
@@ -74,7 +85,7 @@
     private void readOn() {
         try {
             while (!busy && !closing && !ahead.isEmpty()) {
-                ByteBuffer next = ahead.peek();
+                ByteBuffer next = ahead.peek().bytes;
                 boolean fresh = reader.untouched();
                 aheadBytes -= next.remaining();
                 try {
@@ -82,6 +93,7 @@
                 } finally {
                     aheadBytes += next.remaining();
                     if (fresh && !reader.untouched()) {
+                        requestArrivedAt = ahead.peek().at;
                         front.happened(new Event.ClientBegan(id));
                     }
                 }
@@ -179,7 +191,8 @@
                 } else {
                     request = new ClientRequest(head, body.toByteArray());
                     forgetBody();
-                    front.happened(new Event.Asked(id, request.read(front.names())));
+                    long waited = Math.max(0, front.now() - requestArrivedAt);
+                    front.happened(new Event.Asked(id, request.read(front.names(), waited)));
                 }
             }
             case "/ready" -> {
--- a/src/main/java/yewdock/platform/Front.java
+++ b/src/main/java/yewdock/platform/Front.java
@@ -297,6 +297,11 @@
         return desk.unready();
     }
 
+    /** The router's time. */
+    long now() {
+        return clock.getAsLong();
+    }
+
     Counters counters() {
         return counters;
     }
--- a/src/main/java/yewdock/platform/Side.java
+++ b/src/main/java/yewdock/platform/Side.java
@@ -10,6 +10,14 @@
     /** Bytes have come; they are the side's to keep. */
     void received(ByteBuffer bytes);
 
+    /**
+     * The same, with the time by the router's clock at which they had come at the earliest. It is long past
+     * where they have waited for the process.
+     */
+    default void received(ByteBuffer bytes, long arrivedAt) {
+        received(bytes);
+    }
+
     /** All that was written up to some call of {@link Wire#write}, this many bytes of it, has left. */
     void written(int bytes);
 
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -60,12 +60,19 @@
     private static final int BACKLOG = 512;
     private static final int LARGEST_READ = 16 * 1024;
     private static final long LAST_WRITES_MILLIS = 300;
-    private static final long LONGEST_SLEEP = 1_000_000;
+    /** A pause of the process that falls into a sleep is not seen: it can't be longer than this. */
+    private static final long LONGEST_SLEEP = 100_000;
     /** After so long without a look at what has come, the sockets are read before anything else is done. */
     private static final long LONGEST_WITHOUT_NEWS = 100_000;
     private static final long READ_MILLIS = 10;
     /** Writing out takes less, also on a machine that is busy. */
     private static final long LEAST_ATTEMPTS_WAIT = 50_000;
+    /** Later than this its client may long have gone, and has less time left than the attempt says. */
+    private static final long MOST_ATTEMPTS_WAIT = 100_000;
+    /** A shorter pause makes no difference to anyone's time. */
+    private static final long SHORTEST_STALL = 50_000;
+    /** So long after a pause all that came in it has been accepted and read. */
+    private static final long READ_AFTER_STALL = 100_000;
     /** For so long nothing else is done while discovery is asked for what a pause may have hidden. */
     private static final long CATCH_UP = 250_000;
 
@@ -87,6 +94,9 @@
     private volatile Front front;
     /** When the task that is being done was begun: all news that was there before has been read. */
     private long decidingSince;
+    /** The last time in which the process stood still, and what came then was not read. */
+    private long stalledFrom;
+    private long stalledUntil;
     private boolean stopped;
 
     /** Whom a connection leads to. */
@@ -106,7 +116,7 @@
 
     /**
      * Sockets for so many clients at once. An attempt of which nothing has been written within half of the
-     * time in which drains must be kept is not begun: the process stood still since it was decided on.
+     * time in which drains must be kept, or 0.1 s, is not begun: the process stood still meanwhile.
      */
     public Sockets(int mostClients, long drainGrace) {
         this(mostClients, drainGrace, Lingering.SECONDS);
@@ -114,11 +124,11 @@
 
     /** The same, lingering for so long. */
     Sockets(int mostClients, long drainGrace, int lingerSeconds) {
-        attemptsWait = Math.max(LEAST_ATTEMPTS_WAIT, drainGrace / 2);
+        attemptsWait = Math.max(LEAST_ATTEMPTS_WAIT, Math.min(MOST_ATTEMPTS_WAIT, drainGrace / 2));
         lingering = new Lingering(lingerSeconds);
         room = new Room(mostClients + CLOSING_CLIENTS);
         // One processor for all: the router has one core.
-        processor = new WholeReads(threads, this::tooLate);
+        processor = new WholeReads(threads, this::tooLate, this::isClient);
         acceptor = new BoundedAcceptor(threads, processor, room, wire -> front.accept(wire));
         connector = new NioSocketConnector(threads, processor);
         connector.setHandler(new Handler());
@@ -178,9 +188,9 @@
         Logger.info("operators call {}", also.getLocalAddress());
     }
 
-    /** How much waits for the desk's thread. */
-    int waiting() {
-        return queue.size();
+    /** How many ends of clients, and how much of discovery's, wait for the desk's thread. */
+    int urgentWaiting() {
+        return queue.urgentSize();
     }
 
     /** Has the desk's thread do this, after all that has come before it; any thread may call it. */
@@ -229,11 +239,11 @@
                 // counted from before the last task: the process may have stood still in the midst of it
                 long unread = clock.getAsLong() - decidingSince;
                 if (unread > LONGEST_WITHOUT_NEWS) {
-                    if (task != null && task.isNews()) {
-                        run(task);
-                        task = null;
+                    if (task != null) {
+                        queue.putBack(task);
                     }
                     readNewsFirst(desk, unread - wait);
+                    task = queue.poll(0);
                 }
                 decidingSince = clock.getAsLong();
                 if (task != null) {
@@ -251,14 +261,18 @@
     }
 
     /**
-     * The process may have stood still, and news of discovery wait in a socket beside clients' requests and
-     * times that have come: it is read before any of these are acted upon. After a pause in which discovery
-     * may have had more to tell than one answer holds, it is asked anew first.
+     * The process may have stood still, and news of discovery and clients' ends wait in sockets beside their
+     * requests and times that have come: they are read before any of these are acted upon. After a pause in
+     * which discovery may have had more to tell than one answer holds, it is asked anew first.
      */
     private void readNewsFirst(Desk desk, long stalled) throws InterruptedException {
+        if (stalled >= SHORTEST_STALL) {
+            stalledUntil = clock.getAsLong();
+            stalledFrom = stalledUntil - stalled;
+        }
         processor.awaitRead(READ_MILLIS);
-        for (Task news = queue.pollUrgent(); news != null; news = queue.pollUrgent()) {
-            run(news);
+        for (Task urgent = queue.pollUrgent(); urgent != null; urgent = queue.pollUrgent()) {
+            run(urgent);
         }
         run(new Task(null, () -> front.happened(new Event.Resumed(stalled))));
         long until = clock.getAsLong() + CATCH_UP;
@@ -270,6 +284,11 @@
         }
     }
 
+    /** When bytes that were read at this time came at the earliest: in a pause, nothing is read. */
+    private long earliestArrival(long readAt) {
+        return readAt > stalledFrom && readAt <= stalledUntil + READ_AFTER_STALL ? stalledFrom : readAt;
+    }
+
     /** One event's fault must not stop the others. */
     private void run(Task task) {
         try {
@@ -478,6 +497,10 @@
         return side;
     }
 
+    private boolean isClient(IoSession session) {
+        return session.getService() == acceptor;
+    }
+
     private boolean tooLate(IoSession session) {
         SessionWire wire = (SessionWire) session.getAttribute(WIRE);
         return wire != null && wire.purpose == Purpose.SERVER
@@ -485,7 +508,7 @@
     }
 
     private void add(Task task) {
-        if (task.isNews()) {
+        if (task.wire().leadsToDiscovery()) {
             queue.addUrgent(task);
         } else {
             queue.add(task);
@@ -616,7 +639,10 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             SessionWire wire = wire(session);
-            ByteBuffer bytes = ((IoBuffer) message).buf();
+            if (endsUnanswered(session)) {
+                return;
+            }
+            ByteBuffer bytes = processor.withAllBehind(session, ((IoBuffer) message).buf());
             int size = bytes.remaining();
             if (wire.deaf) {
                 wire.dropped += size;
@@ -629,15 +655,21 @@
                 later(wire, side -> side.received(bytes));
                 return;
             }
+            long readAt = clock.getAsLong();
             queueRoom.acquireUninterruptibly(size);
             queue.add(new Task(wire, () -> {
                 queueRoom.release(size);
                 if (wire.side != null && !wire.isDown) {
-                    wire.side.received(bytes);
+                    wire.side.received(bytes, earliestArrival(readAt));
                 }
             }));
         }
 
+        /** Whether a client has sent this and gone: what it asks for must not be begun. */
+        private boolean endsUnanswered(IoSession session) {
+            return room == Sockets.this.room && WholeReads.hasEnded(session);
+        }
+
         @Override
         public void messageSent(IoSession session, Object message) {
             int bytes = ((IoBuffer) message).limit();
@@ -660,7 +692,7 @@
             SessionWire wire = wire(session);
             Task end = new Task(wire, wire::down);
             if (room == Sockets.this.room) {
-                queue.addFirst(end);
+                queue.addUrgent(end);
             } else {
                 add(end);
             }
--- a/src/main/java/yewdock/sockets/TaskQueue.java
+++ b/src/main/java/yewdock/sockets/TaskQueue.java
@@ -7,17 +7,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What waits for the dispatcher's thread, in the order in which it came. News of discovery is urgent: it goes
- * before all that waits, in an order of its own, for a server that drains must not get what came before the
- * news and is done after it. Any thread may add.
+ * What waits for the dispatcher's thread, in the order in which it came. News of discovery and the ends of
+ * clients are urgent: they go before all that waits, in an order of their own, for neither a server that
+ * drains nor a client that has left is to see the start of an attempt for what came earlier. Any thread may
+ * add.
  */
 final class TaskQueue {
     /** Work to do; the wire is the connection that it concerns, or null. */
     record Task(Sockets.SessionWire wire, Runnable work) {
-        /** Whether it is about the connection to discovery. */
-        boolean isNews() {
-            return wire != null && wire.leadsToDiscovery();
-        }
     }
 
     /** Wakes whoever waits for the other tasks; the urgent ones were taken before it. */
@@ -32,8 +29,8 @@
         tasks.add(task);
     }
 
-    /** Before all that is not urgent. */
-    void addFirst(Task task) {
+    /** A task that was polled and not done is the first again, after the urgent ones. */
+    void putBack(Task task) {
         tasks.addFirst(task);
     }
 
@@ -42,9 +39,9 @@
         tasks.addFirst(WAKE_UP);
     }
 
-    /** How many wait. */
-    int size() {
-        return tasks.size();
+    /** How many urgent ones wait. */
+    int urgentSize() {
+        return urgent.size();
     }
 
     /** The next urgent task; null if none waits. */
--- a/src/main/java/yewdock/sockets/WholeReads.java
+++ b/src/main/java/yewdock/sockets/WholeReads.java
@@ -1,10 +1,13 @@
 package yewdock.sockets;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -13,18 +16,31 @@
  * MINA reads a connection until nothing is left, and forgets what that brought when the last of these
  * reads fails: a stream's end, or a list, behind which its sender has reset the connection. Here they are
  * passed on, and the connection is closed behind them.
+ *
+ * <p>A client's connection is read on until nothing is left, however much that is, so that its end is known
+ * before what came ahead of the end is passed on.
  */
 final class WholeReads extends NioProcessor {
+    /** Set where the end of the connection was read. */
+    private static final AttributeKey ENDED = new AttributeKey(WholeReads.class, "ended");
+    /** What was read behind a full buffer, as bytes. */
+    private static final AttributeKey BEHIND = new AttributeKey(WholeReads.class, "behind");
+    /** So much is read behind a full buffer: more than any client may send before it is answered. */
+    private static final int MOST_BEHIND = 1 << 20;
+    private static final int PIECE = 64 * 1024;
+
     private final Object rounds = new Object();
     /** How often all that was ready has been read; guarded by rounds. */
     private long round;
 
     /** Tells that what is written to a connection was decided too long ago to be begun. */
     private final Predicate<IoSession> tooLate;
+    private final Predicate<IoSession> isClient;
 
-    WholeReads(Executor threads, Predicate<IoSession> tooLate) {
+    WholeReads(Executor threads, Predicate<IoSession> tooLate, Predicate<IoSession> isClient) {
         super(threads);
         this.tooLate = tooLate;
+        this.isClient = isClient;
     }
 
     /** A message whose first byte is late is not begun: the connection breaks with nothing written. */
@@ -62,15 +78,55 @@
 
     @Override
     protected int read(NioSession session, IoBuffer into) throws Exception {
+        int read = readUnlessReset(session, into);
+        if (read > 0 && !into.hasRemaining() && isClient.test(session)) {
+            readBehind(session);
+        }
+        return read;
+    }
+
+    private int readUnlessReset(NioSession session, IoBuffer into) throws Exception {
         try {
-            return super.read(session, into);
+            int read = super.read(session, into);
+            if (read < 0) {
+                session.setAttribute(ENDED);
+            }
+            return read;
         } catch (IOException e) {
             if (into.position() == 0) {
                 throw e;
             }
             // handled by this thread once what came is passed on
+            session.setAttribute(ENDED);
             session.closeNow();
             return 0;
         }
     }
+
+    private void readBehind(NioSession session) throws Exception {
+        ByteArrayOutputStream behind = new ByteArrayOutputStream();
+        IoBuffer piece = IoBuffer.allocate(PIECE);
+        int read = 1;
+        while (read > 0 && behind.size() < MOST_BEHIND) {
+            piece.clear();
+            read = readUnlessReset(session, piece);
+            behind.write(piece.array(), 0, piece.position());
+        }
+        session.setAttribute(BEHIND, behind.toByteArray());
+    }
+
+    /** Whether the other side has ended the connection behind what was read last. */
+    static boolean hasEnded(IoSession session) {
+        return session.containsAttribute(ENDED);
+    }
+
+    /** What was read last, and all that was read behind it. */
+    ByteBuffer withAllBehind(IoSession session, ByteBuffer bytes) {
+        byte[] behind = (byte[]) session.removeAttribute(BEHIND);
+        if (behind == null) {
+            return bytes;
+        }
+        ByteBuffer all = ByteBuffer.allocate(bytes.remaining() + behind.length);
+        return all.put(bytes).put(behind).flip();
+    }
 }
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 
 /** Routers in processes of their own, each with its discovery and its clients, and servers that all share. */
@@ -15,6 +17,7 @@
     private static final Path TEMPLATE = Path.of("src/test/resources/exchanges/config.json");
 
     private final DrainJudge judge;
+    private final Queue<RecordingServer.Attempt> attempts = new ConcurrentLinkedQueue<>();
     private final List<RecordingServer> servers = new ArrayList<>();
     private final List<ScriptedDiscovery> discoveries = new ArrayList<>();
     private final List<RouterProcess> routers = new ArrayList<>();
@@ -30,7 +33,7 @@
         this.graceSeconds = graceMillis / 1000.0;
         judge = new DrainJudge(graceMillis, pushed, System::nanoTime);
         for (int i = 0; i < serverCount; i++) {
-            servers.add(new RecordingServer("s-" + Integer.toHexString(0xa0 + i), judge));
+            servers.add(new RecordingServer("s-" + Integer.toHexString(0xa0 + i), this::attempted));
         }
         for (int i = 0; i < routerCount; i++) {
             ScriptedDiscovery discovery = new ScriptedDiscovery(i, judge);
@@ -43,6 +46,21 @@
         }
     }
 
+    private void attempted(RecordingServer.Attempt attempt) {
+        attempts.add(attempt);
+        judge.attempted(routerOf(attempt.requestId()), attempt.server(), attempt.firstByteAt());
+    }
+
+    /** Clients put the router's number in front of each request's id. */
+    private static int routerOf(String requestId) {
+        return Integer.parseInt(requestId.substring(0, requestId.indexOf('-')), 16);
+    }
+
+    /** All attempts of requests whose ids begin so. */
+    List<RecordingServer.Attempt> attemptsOf(String idPrefix) {
+        return attempts.stream().filter(attempt -> attempt.requestId().startsWith(idPrefix)).toList();
+    }
+
     private RouterProcess start(int router, long knownVersion) throws IOException {
         Path own = Files.createDirectories(folder.resolve("router-" + router));
         return new RouterProcess(own, configuration(discoveries.get(router).address(), knownVersion));
--- a/src/test/java/yewdock/faults/RecordingServer.java
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -9,22 +9,36 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
-/** A language-model server that tells the judge of each attempt's first byte, and answers at once. */
+/** A language-model server that tells of each attempt and when its first byte came, and answers at once. */
 final class RecordingServer implements Closeable {
     private static final int BACKLOG = 256;
     private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII);
 
+    /** An attempt as the server saw it; times are System.nanoTime's. */
+    record Attempt(String server, String head, long firstByteAt) {
+        /** The id that the client gave its request. */
+        String requestId() {
+            return Traffic.field(head, "x-correlation-id");
+        }
+
+        /** How many seconds the router says that its client will wait. */
+        double timeLeft() {
+            return Double.parseDouble(Traffic.field(head, "x-time-left"));
+        }
+    }
+
     private final String name;
-    private final DrainJudge judge;
+    private final Consumer<Attempt> attempts;
     private final ServerSocket listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    RecordingServer(String name, DrainJudge judge) throws IOException {
+    RecordingServer(String name, Consumer<Attempt> attempts) throws IOException {
         this.name = name;
-        this.judge = judge;
+        this.attempts = attempts;
         listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
         thread(this::accept);
     }
@@ -57,7 +71,7 @@
                 long at = System.nanoTime();
                 String head = Traffic.readHead(in, first);
                 in.readNBytes(Traffic.contentLength(head));
-                judge.attempted(routerOf(head), name, at);
+                attempts.accept(new Attempt(name, head, at));
                 socket.getOutputStream().write(ANSWER);
             }
         } catch (IOException e) {
@@ -67,12 +81,6 @@
         }
     }
 
-    /** Clients put the router's number in front of each request's id. */
-    private static int routerOf(String head) {
-        String id = Traffic.field(head, "x-correlation-id");
-        return Integer.parseInt(id.substring(0, id.indexOf('-')), 16);
-    }
-
     private static void thread(Runnable work) {
         Thread thread = new Thread(work, "server");
         thread.setDaemon(true);
--- a/src/test/java/yewdock/faults/Traffic.java
+++ b/src/test/java/yewdock/faults/Traffic.java
@@ -15,6 +15,7 @@
     private static final long BETWEEN_MILLIS = 20;
     private static final int PATIENCE_MILLIS = 10_000;
     private static final String BODY = "{}";
+    private static final double TIME_LEFT = 8;
     private static final AtomicLong LAST_ID = new AtomicLong();
 
     private final int router;
@@ -61,15 +62,22 @@
 
     private byte[] request() {
         long id = LAST_ID.incrementAndGet();
-        return String.format(Locale.ROOT, "POST /v1/chat/completions HTTP/1.1\r\nX-Correlation-Id: %x-%x\r\n"
+        return request(Integer.toHexString(router) + '-' + Long.toHexString(id), TIME_LEFT);
+    }
+
+    /** A request as a client writes it. */
+    static byte[] request(String id, double timeLeft) {
+        return String.format(Locale.ROOT, "POST /v1/chat/completions HTTP/1.1\r\nX-Correlation-Id: %s\r\n"
                 + "X-Service-Class: chat\r\nX-Account: lalitpur-metro\r\nX-Session-Key: %x\r\n"
-                + "X-Time-Left: 8.000\r\nX-Facts: prompt_len=100,prefix_len=0,max_out=9\r\n"
-                + "Content-Length: %d\r\n\r\n%s", router, id, id, BODY.length(), BODY)
+                + "X-Time-Left: %.3f\r\nX-Facts: prompt_len=100,prefix_len=0,max_out=9\r\n"
+                + "Content-Length: %d\r\n\r\n%s", id, id.hashCode(), timeLeft, BODY.length(), BODY)
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
-    private static void readAnswer(InputStream in) throws IOException {
+    /** Reads a whole answer and returns its status. */
+    static int readAnswer(InputStream in) throws IOException {
         String head = readHead(in, in.read());
+        int status = Integer.parseInt(head.split(" ", 3)[1]);
         if (field(head, "transfer-encoding").equals("chunked")) {
             int size = Integer.parseInt(readLine(in), 16);
             while (size > 0) {
@@ -83,6 +91,7 @@
         if (field(head, "connection").equals("close")) {
             throw new EOFException("the router ends the connection");
         }
+        return status;
     }
 
     private static String readLine(InputStream in) throws IOException {
--- a/src/test/java/yewdock/sockets/GoneClientTest.java
+++ b/src/test/java/yewdock/sockets/GoneClientTest.java
@@ -1,7 +1,6 @@
 package yewdock.sockets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -28,8 +27,6 @@
 /** Clients that close their connections have gone: no attempt is begun for them any more. */
 class GoneClientTest {
     private static final int CLIENTS = 30;
-    /** What each of them puts into the queue: made, opened, its request's bytes, closed. */
-    private static final int TASKS = 4;
     private static final int BEHIND = 300 * 1024;
 
     private final Counters counters = new Counters();
@@ -97,10 +94,10 @@
             assertEquals(-1, client.getInputStream().read(), "its end is not seen");
         }
         long patience = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-        while (sockets.waiting() < CLIENTS * TASKS && System.nanoTime() < patience) {
+        while (sockets.urgentWaiting() < CLIENTS && System.nanoTime() < patience) {
             Thread.onSpinWait();
         }
-        assertTrue(sockets.waiting() >= CLIENTS * TASKS, "queued " + sockets.waiting());
+        assertEquals(CLIENTS, sockets.urgentWaiting(), "ends that wait");
         busy.countDown();
         assertEquals(0, counted("lines.opened"), "connections were opened for clients that had gone");
         assertEquals(0, counted("answers.left_before"));
@@ -117,16 +114,21 @@
     @Test
     void anEndBehindMuchThatWasSentAheadIsSeen() throws Exception {
         try (Socket client = asks("b1")) {
+            awaitCounted("requests.taken");
             client.getOutputStream().write(new byte[BEHIND]);
             client.shutdownOutput();
             InputStream in = client.getInputStream();
             assertEquals(-1, in.read(), "was answered");
         }
         // the client sees its connection's end a moment before the desk does
+        awaitCounted("answers.left_before");
+    }
+
+    private void awaitCounted(String counter) throws Exception {
         long patience = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-        while (counted("answers.left_before") == 0 && System.nanoTime() < patience) {
+        while (counted(counter) == 0 && System.nanoTime() < patience) {
             Thread.onSpinWait();
         }
-        assertEquals(1, counted("answers.left_before"));
+        assertEquals(1, counted(counter));
     }
 }
--- a/src/test/java/yewdock/sockets/TaskQueueTest.java
+++ b/src/test/java/yewdock/sockets/TaskQueueTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import yewdock.sockets.TaskQueue.Task;
 
-/** News of discovery goes before what came earlier, each of the two in its own order. */
+/** Urgent tasks go before what came earlier, each of the two in its own order. */
 class TaskQueueTest {
     private final TaskQueue queue = new TaskQueue();
     private final List<String> done = new ArrayList<>();
@@ -29,9 +29,9 @@
         queue.addUrgent(task("news 1"));
         queue.add(task("request 2"));
         queue.addUrgent(task("news 2"));
-        queue.addFirst(task("client left"));
+        queue.putBack(task("put back"));
         runAll();
-        assertEquals(List.of("news 1", "news 2", "client left", "request 1", "request 2"), done);
+        assertEquals(List.of("news 1", "news 2", "put back", "request 1", "request 2"), done);
     }
 
     @Test
