A client that is there after a long pause of the process is served, with a part of its time

Cause: ClientSide knew only when bytes had come at the earliest. A client that is still there after a pause longer than its patience asked within the pause, nobody knows when. Change: Arrival holds the earliest and the latest time; what is left is counted from the earliest, but at least a quarter of what is left from the latest. Shorter pauses, waits in the queue and behind an open request are taken off whole, as before.

--- a/src/main/java/yewdock/platform/ClientRequest.java
+++ b/src/main/java/yewdock/platform/ClientRequest.java
@@ -21,7 +21,7 @@
      * What the desk needs to know; a header that is malformed or names nothing known is a bad request. The
      * client's time has run while the request waited to be read.
      */
-    ModelRequest read(Names names, long waited) throws BadMessageException {
+    ModelRequest read(Names names, Arrival arrival, long now) throws BadMessageException {
         String id = required("X-Correlation-Id");
         int requestClass = place(names.classes(), "X-Service-Class");
         int municipality = names.municipalities().isEmpty() ? 0 : place(names.municipalities(), "X-Account");
@@ -33,7 +33,7 @@
         return new ModelRequest(id, requestClass, municipality, "1".equals(head.field("X-Repeat")),
                 Ids.of(head.field("X-Session-Key")), Ids.of(facts.get("prefix")),
                 length(facts, "prompt_len"), length(facts, "prefix_len"), length(facts, "max_out"),
-                Math.max(0, Math.round(seconds * MICROS) - TRANSIT - waited), body.length + OVERHEAD);
+                arrival.left(Math.round(seconds * MICROS) - TRANSIT, now), body.length + OVERHEAD);
     }
 
     private String required(String name) throws BadMessageException {
--- a/src/main/java/yewdock/platform/ClientSide.java
+++ b/src/main/java/yewdock/platform/ClientSide.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.Locale;
 import yewdock.desk.Event;
+import yewdock.desk.ModelRequest;
 import yewdock.http.BadMessageException;
 import yewdock.http.Head;
 import yewdock.http.MessageReader;
@@ -25,7 +26,7 @@
     private final Deque<Arrived> ahead = new ArrayDeque<>();
     private int aheadBytes;
     /** When the first byte came of the request that is read: its client's time runs since before that. */
-    private long requestArrivedAt;
+    private Arrival requestArrival;
     private Head head;
     private ByteArrayOutputStream body;
     private ClientRequest request;
@@ -42,7 +43,7 @@
     private boolean turnedDown;
 
     /** Bytes from the client, and when they came. */
-    private record Arrived(ByteBuffer bytes, long at) {
+    private record Arrived(ByteBuffer bytes, Arrival when) {
     }
 
     ClientSide(Front front, long id, Wire wire) {
@@ -62,15 +63,15 @@
 
     @Override
     public void received(ByteBuffer bytes) {
-        received(bytes, front.now());
+        received(bytes, Arrival.at(front.now()));
     }
 
     @Override
-    public void received(ByteBuffer bytes, long arrivedAt) {
+    public void received(ByteBuffer bytes, Arrival arrival) {
         if (closing) {
             return;
         }
-        ahead.add(new Arrived(bytes, arrivedAt));
+        ahead.add(new Arrived(bytes, arrival));
         aheadBytes += bytes.remaining();
         readOn();
         if (aheadBytes > MOST_AHEAD && busy) {
@@ -93,7 +94,7 @@
                 } finally {
                     aheadBytes += next.remaining();
                     if (fresh && !reader.untouched()) {
-                        requestArrivedAt = ahead.peek().at;
+                        requestArrival = ahead.peek().when;
                         front.happened(new Event.ClientBegan(id));
                     }
                 }
@@ -190,8 +191,8 @@
                 } else {
                     request = new ClientRequest(head, body.toByteArray());
                     forgetBody();
-                    long waited = Math.max(0, front.now() - requestArrivedAt);
-                    front.happened(new Event.Asked(id, request.read(front.names(), waited)));
+                    ModelRequest read = request.read(front.names(), requestArrival, front.now());
+                    front.happened(new Event.Asked(id, read));
                 }
             }
             case "/ready" -> {
--- a/src/main/java/yewdock/platform/Side.java
+++ b/src/main/java/yewdock/platform/Side.java
@@ -10,11 +10,8 @@
     /** Bytes have come; they are the side's to keep. */
     void received(ByteBuffer bytes);
 
-    /**
-     * The same, with the time by the router's clock at which they had come at the earliest. It is long past
-     * where they have waited for the process.
-     */
-    default void received(ByteBuffer bytes, long arrivedAt) {
+    /** The same, with when they came: that may be long past where they have waited for the process. */
+    default void received(ByteBuffer bytes, Arrival arrival) {
         received(bytes);
     }
 
--- a/src/main/java/yewdock/sockets/Sockets.java
+++ b/src/main/java/yewdock/sockets/Sockets.java
@@ -38,6 +38,7 @@
 import yewdock.desk.Desk;
 import yewdock.desk.Event;
 import yewdock.platform.Addresses;
+import yewdock.platform.Arrival;
 import yewdock.platform.Config;
 import yewdock.platform.Front;
 import yewdock.platform.Side;
@@ -309,9 +310,10 @@
         }
     }
 
-    /** When bytes that were read at this time came at the earliest: in a pause, nothing is read. */
-    private long earliestArrival(long readAt) {
-        return readAt > stalledFrom && readAt <= stalledUntil + READ_AFTER_STALL ? stalledFrom : readAt;
+    /** When bytes came that were read at this time: in a pause of the process nothing is read. */
+    private Arrival arrival(long readAt) {
+        boolean mayHaveWaited = readAt > stalledFrom && readAt <= stalledUntil + READ_AFTER_STALL;
+        return new Arrival(mayHaveWaited ? stalledFrom : readAt, readAt);
     }
 
     /** One event's fault must not stop the others. */
@@ -711,7 +713,7 @@
                 queueRoom.release(size);
                 wire.unheard.decrementAndGet();
                 if (wire.side != null && !wire.isDown) {
-                    wire.side.received(bytes, earliestArrival(readAt));
+                    wire.side.received(bytes, arrival(readAt));
                 }
             }));
         }
