--- a/src/test/java/umberspread/ColdFleetTest.java
+++ b/src/test/java/umberspread/ColdFleetTest.java
@@ -123,7 +123,7 @@
     /** Uneven traffic, a third of the gateways just restarted, lists late, most other replicas in trouble. */
     @Test
     void theRampHoldsForTheFleetWhateverItsSize() {
-        for (int gateways : new int[] {1, 3, 14, 30, 100}) {
+        for (int gateways : new int[] {1, 2, 5, 14, 30, 100}) {
             int sentInAll = 0;
             for (Trouble trouble : Trouble.values()) {
                 for (long seed = 1; seed <= SEEDS; seed++) {
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
 /** Routers in processes of their own, each with its discovery and its clients, and servers that all share. */
 final class FaultRig implements Closeable {
     private static final int CLIENTS_PER_ROUTER = 8;
     private static final long FIRST_VERSION = 1;
+    private static final int FIRST_SERVER = 0xa0;
     private static final Path TEMPLATE = Path.of("src/test/resources/exchanges/config.json");
 
     private final DrainJudge judge;
@@ -25,15 +27,23 @@
     private final Path folder;
     private final String mode;
     private final double graceSeconds;
+    private final UnaryOperator<String> editConfiguration;
 
     FaultRig(Path folder, boolean pushed, long graceMillis, int routerCount, int serverCount)
             throws Exception {
+        this(folder, pushed, graceMillis, routerCount, serverCount, UnaryOperator.identity());
+    }
+
+    /** The same with routers whose configuration is edited. */
+    FaultRig(Path folder, boolean pushed, long graceMillis, int routerCount, int serverCount,
+            UnaryOperator<String> editConfiguration) throws Exception {
         this.folder = folder;
+        this.editConfiguration = editConfiguration;
         this.mode = pushed ? "push" : "ask";
         this.graceSeconds = graceMillis / 1000.0;
         judge = new DrainJudge(graceMillis, pushed, System::nanoTime);
         for (int i = 0; i < serverCount; i++) {
-            servers.add(new RecordingServer("s-" + Integer.toHexString(0xa0 + i), this::attempted));
+            addServer();
         }
         for (int i = 0; i < routerCount; i++) {
             ScriptedDiscovery discovery = new ScriptedDiscovery(i, judge);
@@ -46,6 +56,14 @@
         }
     }
 
+    /** Another server, of which discovery does not know yet. */
+    RecordingServer addServer() throws IOException {
+        String name = "s-" + Integer.toHexString(FIRST_SERVER + servers.size());
+        RecordingServer server = new RecordingServer(name, this::attempted);
+        servers.add(server);
+        return server;
+    }
+
     private void attempted(RecordingServer.Attempt attempt) {
         attempts.add(attempt);
         judge.attempted(routerOf(attempt.requestId()), attempt.server(), attempt.firstByteAt());
@@ -74,7 +92,7 @@
                 + "\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}").collect(Collectors.joining(","));
         int from = template.indexOf("\"known\"");
         int to = template.indexOf("\"settings\"");
-        return (template.substring(0, from) + "\"known\":{\"version\":" + knownVersion
+        return editConfiguration.apply(template.substring(0, from) + "\"known\":{\"version\":" + knownVersion
                 + ",\"full\":true,\"servers\":[" + known + "]},\n " + template.substring(to))
                 .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:8500", discovery)
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + mode + "\"")
--- a/src/test/java/yewdock/faults/RecordingServer.java
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -31,7 +32,15 @@
         }
     }
 
+    private static final byte[] TURNED_AWAY = ("HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\n"
+            + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] NO_HTTP = "\u0000\u0001 no answer at all\r\n\r\n"
+            .getBytes(StandardCharsets.US_ASCII);
+    private static final int HALF = 20;
+    private static final long TRICKLE_MILLIS = 50;
+
     private final String name;
+    private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWERS;
     private final Consumer<Attempt> attempts;
     private final ServerSocket listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -72,15 +81,54 @@
                 String head = Traffic.readHead(in, first);
                 in.readNBytes(Traffic.contentLength(head));
                 attempts.accept(new Attempt(name, head, at));
-                socket.getOutputStream().write(ANSWER);
+                if (!answer(socket)) {
+                    return;
+                }
             }
         } catch (IOException e) {
             // the router ended the connection
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } finally {
             open.remove(socket);
         }
     }
 
+    /** Does with a request what the server does now; tells whether the connection goes on. */
+    private boolean answer(Socket socket) throws IOException, InterruptedException {
+        OutputStream out = socket.getOutputStream();
+        switch (behaviour) {
+            case ANSWERS -> out.write(ANSWER);
+            case ANSWERS_TWICE -> {
+                out.write(ANSWER);
+                out.write(ANSWER);
+            }
+            case FULL -> out.write(TURNED_AWAY);
+            case HALF_HEAD -> out.write(ANSWER, 0, HALF);
+            case GARBAGE -> out.write(NO_HTTP);
+            case TRICKLES -> trickle(out);
+            case CLOSES -> {
+                return false;
+            }
+            default -> {
+                // silent
+            }
+        }
+        return true;
+    }
+
+    private static void trickle(OutputStream out) throws IOException, InterruptedException {
+        for (int i = 0; i < ANSWER.length - 1; i++) {
+            out.write(ANSWER[i]);
+            Thread.sleep(TRICKLE_MILLIS);
+        }
+    }
+
+    /** What it does with requests from now on. */
+    void behave(ServerBehaviour next) {
+        behaviour = next;
+    }
+
     private static void thread(Runnable work) {
         Thread thread = new Thread(work, "server");
         thread.setDaemon(true);
