--- a/src/main/java/yewdock/sockets/TaskQueue.java
+++ b/src/main/java/yewdock/sockets/TaskQueue.java
@@ -14,7 +14,7 @@
  */
 final class TaskQueue {
     /** Work to do; the wire is the connection that it concerns, or null. */
-    record Task(Sockets.SessionWire wire, Runnable work) {
+    record Task(SessionWire wire, Runnable work) {
     }
 
     /** Wakes whoever waits for the other tasks; the urgent ones were taken before it. */
