--- a/src/main/java/yewdock/scenario/ScenarioFile.java
+++ b/src/main/java/yewdock/scenario/ScenarioFile.java
@@ -56,7 +56,7 @@
                 range(d, "swing", 0, 0, 0, 1), range(d, "burst", 0, 0, 0, 6));
         d.nothingElse();
         Section s = all.section("sites");
-        Scenario.Sites sites = new Scenario.Sites(s.texts("names", List.of("kathmandu", "pokhara")),
+        Scenario.Sites sites = new Scenario.Sites(s.texts("names", List.of("site-1", "site-2")),
                 range(s, "across_ms", 10, 20, 0, 10_000), range(s, "within_ms", 0.1, 0.3, 0, 10_000),
                 range(s, "client_ms", 0.2, 0.9, 0, 10_000), range(s, "jitter", 0.1, 0.3, 0, 10),
                 range(s, "skew", 0, 0, -1, 1));
--- a/src/main/java/yewdock/standin/Load.java
+++ b/src/main/java/yewdock/standin/Load.java
@@ -171,7 +171,7 @@
         String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":" + tokens + ",\"pace_ms\":" + pace
                 + "}";
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: demo\r\nX-Correlation-Id: " + id
-                + "\r\nX-Service-Class: chat\r\nX-Account: lalitpur-metro\r\nX-Session-Key: "
+                + "\r\nX-Service-Class: chat\r\nX-Account: " + Fleet.TENANT + "\r\nX-Session-Key: "
                 + Integer.toHexString(id.hashCode() | 1) + "\r\nX-Time-Left: 4.000\r\nX-Facts: prefix="
                 + Integer.toHexString(topic + 1) + ",prompt_len=100,prefix_len=40,max_out=" + tokens
                 + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
