--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -6,19 +6,29 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 
-/** A sound client: one connection, one request at a time. */
+/** A sound client's connection, for one request at a time. */
 final class Client implements AutoCloseable {
-    /** How a request ended: the status, 0 without one; whether its last chunk came; the events; when. */
-    record Answer(int status, boolean whole, String events, double at, String how) {
+    /** The ids that clients have sent. */
+    static final Set<String> SENT = ConcurrentHashMap.newKeySet();
+
+    /**
+     * How a request ended: the status, 0 without one; whether all of it came; the events; whether reading ended because
+     * the time was over; whether the router closes the connection behind it; when its first and its last byte came.
+     */
+    record Answer(int status, boolean whole, int events, boolean timedOut, boolean closes, double firstAt,
+            double at) {
         @Override
         public String toString() {
-            return "status " + status + (whole ? ", whole" : ", not whole") + ", " + events.split("data:", -1).length
-                    + " events, " + how;
+            return (status == 0 ? "no answer" : "status " + status + (whole ? ", whole" : ", not whole") + ", "
+                    + events + " events") + (timedOut ? ", nothing more came" : whole ? "" : ", closed");
         }
     }
 
-    final Socket socket = new Socket();
+    private final Socket socket = new Socket();
     private final InputStream in;
 
     Client(int port) throws IOException {
@@ -28,6 +38,7 @@
     }
 
     static byte[] request(String id, String className, double timeLeft, int bodyLength) {
+        SENT.add(id);
         String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":800,\"messages\":[{\"role\":\"user\","
                 + "\"content\":\"" + "x".repeat(bodyLength) + "\"}]}";
         return (String.format(Locale.ROOT, "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\n"
@@ -56,52 +67,71 @@
     }
 
     /** Reads an answer until its end, the connection's end or this time. */
-    Answer read(double untilSeconds) {
+    Answer read(DoubleSupplier until) {
         int status = 0;
-        StringBuilder events = new StringBuilder();
+        int events = 0;
+        boolean closes = false;
+        double firstAt = 0;
         try {
-            String line = line(untilSeconds);
+            String line = line(until);
+            firstAt = Rig.now();
             if (line == null) {
-                return new Answer(0, false, "", Rig.now(), "closed without an answer");
+                return new Answer(0, false, 0, false, true, 0, Rig.now());
             }
             status = Integer.parseInt(line.split(" ")[1]);
             int length = 0;
             boolean chunked = false;
-            for (line = line(untilSeconds); line != null && !line.isEmpty(); line = line(untilSeconds)) {
+            for (line = line(until); line != null && !line.isEmpty(); line = line(until)) {
                 String lower = line.toLowerCase(Locale.ROOT);
                 chunked |= lower.startsWith("transfer-encoding: chunked");
+                closes |= lower.equals("connection: close");
                 length = lower.startsWith("content-length:") ? Integer.parseInt(lower.substring(15).strip())
                         : length;
             }
             if (!chunked) {
-                in.readNBytes(length);
-                return new Answer(status, true, "", Rig.now(), "answered");
+                boolean whole = in.readNBytes(length).length == length;
+                return new Answer(status, whole, 0, false, closes, firstAt, Rig.now());
             }
             while (true) {
-                line = line(untilSeconds);
+                line = line(until);
                 if (line == null) {
-                    return new Answer(status, false, events.toString(), Rig.now(), "closed midway");
+                    return new Answer(status, false, events, false, true, firstAt, Rig.now());
                 }
                 int size = Integer.parseInt(line, 16);
                 byte[] piece = in.readNBytes(size);
-                events.append(new String(piece, StandardCharsets.UTF_8));
-                if (line(untilSeconds) == null || piece.length < size) {
-                    return new Answer(status, false, events.toString(), Rig.now(), "closed midway");
+                events += new String(piece, StandardCharsets.UTF_8).split("data:", -1).length - 1;
+                if (line(until) == null || piece.length < size) {
+                    return new Answer(status, false, events, false, true, firstAt, Rig.now());
                 }
                 if (size == 0) {
-                    return new Answer(status, true, events.toString(), Rig.now(), "answered");
+                    return new Answer(status, true, events, false, closes, firstAt, Rig.now());
                 }
             }
         } catch (SocketTimeoutException e) {
-            return new Answer(status, false, events.toString(), Rig.now(), "nothing more came in time");
+            return new Answer(status, false, events, true, true, firstAt, Rig.now());
         } catch (IOException e) {
-            return new Answer(status, false, events.toString(), Rig.now(), "broken: " + e.getMessage());
+            return new Answer(status, false, events, false, true, firstAt, Rig.now());
         }
     }
 
-    private String line(double untilSeconds) throws IOException {
-        socket.setSoTimeout((int) Math.max(1, (untilSeconds - Rig.now()) * 1000));
-        return Worker.readLine(in);
+    private String line(DoubleSupplier until) throws IOException {
+        while (true) {
+            double wait = until.getAsDouble() - Rig.now();
+            if (wait <= 0) {
+                throw new SocketTimeoutException();
+            }
+            socket.setSoTimeout((int) Math.max(1, wait * 1000));
+            in.mark(1);
+            try {
+                if (in.read() < 0) {
+                    return null;
+                }
+                in.reset();
+                return Worker.readLine(in);
+            } catch (SocketTimeoutException e) {
+                // the time may have moved on meanwhile: looked at again
+            }
+        }
     }
 
     @Override
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -10,12 +10,14 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /**
  * Starts routers with the deploy file's command {@code run} and writes the record of a case. Started from the
- * project's root with the case's folder as the first argument; all addresses are loopback addresses.
+ * project's root with the file for the record as the first argument; all addresses are loopback addresses.
  */
 final class Rig implements AutoCloseable {
     /** A router's process and where it listens. */
@@ -23,31 +25,29 @@
         final String name;
         final Process process;
         final int port;
-        final int operatorPort;
-        final Path config;
         final Path log;
 
-        Router(String name, Process process, int port, int operatorPort, Path config, Path log) {
+        Router(String name, Process process, int port, Path log) {
             this.name = name;
             this.process = process;
             this.port = port;
-            this.operatorPort = operatorPort;
-            this.config = config;
             this.log = log;
         }
     }
 
     private static final long STARTED = System.nanoTime();
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    final Path folder;
     final Path temporary;
     private final PrintWriter record;
     private final List<Process> processes = new ArrayList<>();
 
-    Rig(String caseFolder) throws IOException {
-        folder = Path.of(caseFolder);
+    /** When each request came whole to a worker, and when a worker wrote its last event, by id. */
+    final Map<String, Double> got = new ConcurrentHashMap<>();
+    final Map<String, Double> lastEvent = new ConcurrentHashMap<>();
+
+    Rig(String recordFile) throws IOException {
         temporary = Files.createTempDirectory("review");
-        record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         note("begin", "TROUBLE=" + (trouble ? 1 : 0));
     }
@@ -76,10 +76,8 @@
     }
 
     /** The configuration of a router of a small deployment, as the page on deployment has it. */
-    static String config(String name, int port, int operatorPort, int discoveryPort, String known,
-            String settings) {
+    static String config(String name, int port, int discoveryPort, String known, String settings) {
         return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\","
-                + (operatorPort == 0 ? "" : "\"operator\":\"127.0.0.1:" + operatorPort + "\",")
                 + "\"discovery\":\"127.0.0.1:" + discoveryPort + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"known\":" + known + ",\"settings\":" + settings + "}";
@@ -97,11 +95,20 @@
                     + "\",\"group\":\"all\",\"window\":5.0,\"aim\":" + aims[i] + ",\"give_up\":" + giveUps[i]
                     + ",\"late_worth\":0.0,\"stream\":true,\"worth\":" + worths[i] + "}");
         }
+        StringBuilder orgs = new StringBuilder();
+        String[] orgNames = {"kathmandu-metro", "lalitpur-metro", "pokhara-metro", "bharatpur-metro",
+            "biratnagar-metro", "birgunj-metro", "butwal-sub", "dharan-sub"};
+        double[] quotas = {7, 7, 6, 5, 2, 2, 2, 2};
+        double[] shares = {0.2, 0.21, 0.18, 0.16, 0.07, 0.07, 0.06, 0.05};
+        for (int i = 0; i < orgNames.length; i++) {
+            orgs.append(i == 0 ? "" : ",").append("{\"name\":\"" + orgNames[i] + "\",\"quota_rps\":"
+                    + quotas[i] + ",\"share\":" + shares[i] + "}");
+        }
         return "{\"instances\":2,\"ordinal\":0,\"tier\":0,\"tiers\":[\"model-fleet\"],\"zone\":0,"
                 + "\"zones\":[\"kathmandu\",\"pokhara\"],\"shapes\":[\"big-gpu\",\"mid-gpu\",\"small-gpu\"],"
                 + "\"discovery\":\"ask\",\"weights\":\"none\",\"workload\":\"llm\",\"worth_by\":\"request\","
                 + "\"over_share_worth\":0.05,\"resolution\":0.005,"
-                + "\"orgs\":[{\"name\":\"kathmandu-metro\",\"quota_rps\":7.0,\"share\":0.2}],"
+                + "\"orgs\":[" + orgs + "],"
                 + "\"classes\":[" + classes + "],\"clients\":{\"marks_retry\":true},"
                 + "\"limits\":{\"max_attempts\":5,\"cancelling\":true,\"connect_timeout\":0.25,\"keepalive\":5.0,"
                 + "\"retry_after\":true,\"max_retry_after\":2.0,\"may_duplicate\":false,\"probes\":true,"
@@ -113,11 +120,10 @@
                 + "60000.0],\"token_aim\":[0.1,0.1,0.06,0.08]}}";
     }
 
-    /** Starts a router; a second one of the same name, port and temporary folder replaces the first. */
-    Router start(String name, int port, int operatorPort, int discoveryPort, String known, String settings)
-            throws IOException {
+    /** Starts a router with an empty temporary folder of its own. */
+    Router start(String name, int port, int discoveryPort, String known, String settings) throws IOException {
         Path config = temporary.resolve(name + "-" + processes.size() + ".json");
-        Files.writeString(config, config(name, port, operatorPort, discoveryPort, known, settings));
+        Files.writeString(config, config(name, port, discoveryPort, known, settings));
         Path shared = temporary.resolve("tmp-" + name);
         Files.createDirectories(shared);
         String run = null;
@@ -133,16 +139,14 @@
         builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
         builder.environment().put("PROXY_DISCOVERY", "127.0.0.1:" + discoveryPort);
         builder.environment().put("TMPDIR", shared.toString());
-        if (operatorPort != 0) {
-            builder.environment().put("PROXY_OPERATOR", "127.0.0.1:" + operatorPort);
-        }
+        builder.environment().remove("PROXY_OPERATOR");
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         Process process = builder.start();
         synchronized (processes) {
             processes.add(process);
         }
         note(name, "started, process " + process.pid() + ", listens on 127.0.0.1:" + port);
-        return new Router(name, process, port, operatorPort, config, log);
+        return new Router(name, process, port, log);
     }
 
     /** Waits until the router says that it is ready; the case can't run if it doesn't. */
@@ -170,21 +174,6 @@
         }
     }
 
-    /** One call at the operators' door; empty if there is no answer in two seconds. */
-    String operator(Router router, String call) {
-        String answer = "";
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress("127.0.0.1", router.operatorPort), 2000);
-            socket.setSoTimeout(2000);
-            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
-            answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            note("operator", "no answer: " + e.getMessage());
-        }
-        note("operator", call + " at " + router.operatorPort + ": " + answer.strip().split("\n")[0]);
-        return answer;
-    }
-
     /** Sends a signal to a router's process. */
     void signal(Router router, String signal) throws Exception {
         note(router.name, "is sent SIG" + signal);
@@ -192,6 +181,19 @@
                 .waitFor();
     }
 
+    /** Writes the end of the record; whether a rule was broken: a request lost, or the router has crashed. */
+    boolean verdict(Router router, OrdinaryClients clients) throws IOException {
+        boolean alive = router.process.isAlive();
+        String ready = get(router.port, "/ready");
+        note(router.name, "at the end: " + (alive ? "alive" : "has ended") + ", GET /ready: "
+                + (ready.isEmpty() ? "no answer in 2 s" : ready.split("\r")[0]));
+        noteLog(router);
+        boolean broken = !clients.lost.isEmpty() || !alive;
+        note("result", (broken ? "the rule was broken" : "the rule held") + ": of " + clients.asked
+                + " requests " + clients.lost.size() + " were lost");
+        return broken;
+    }
+
     /** Copies a router's log to the record. */
     void noteLog(Router router) throws IOException {
         List<String> lines = Files.readAllLines(router.log, StandardCharsets.ISO_8859_1);
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -4,19 +4,27 @@
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 
-/** A sound worker: one request at a time on a connection, a stream of events for each. */
-class Worker {
+/**
+ * A sound worker: one request at a time on a connection, a stream of events for each. As the site's boxes it goes on
+ * with a request whose router has gone, until it can't write any more.
+ */
+final class Worker {
+    private static final int TOKENS_IN_AN_EVENT = 4;
+    /** The settings' keepalive: a connection that rests longer is closed. */
+    private static final int KEEPALIVE_MILLIS = 5000;
+
     final String id;
     final ServerSocket listener;
-    final Rig rig;
-    volatile int tokens;
-    volatile int tokenMillis;
-    volatile int firstMillis;
+    private final Rig rig;
+    private final int firstMillis;
+    private final int tokens;
+    private final int tokenMillis;
 
     Worker(Rig rig, String id, int firstMillis, int tokens, int tokenMillis) throws IOException {
         this.rig = rig;
@@ -86,46 +94,71 @@
         return new Request(start, fields, body);
     }
 
-    void serve(Socket socket) throws Exception {
+    private void serve(Socket socket) throws Exception {
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
-            for (Request request = read(in); request != null; request = read(in)) {
-                rig.note(id, "request " + request.fields().get("x-correlation-id") + " has come whole");
+            while (true) {
+                socket.setSoTimeout(KEEPALIVE_MILLIS);
+                in.mark(1);
+                if (in.read() < 0) {
+                    return;
+                }
+                in.reset();
+                socket.setSoTimeout(0);
+                Request request = read(in);
+                if (request == null) {
+                    return;
+                }
                 answer(request, out);
             }
+        } catch (SocketTimeoutException e) {
+            // it has rested for the keepalive
         } catch (IOException e) {
             rig.note(id, "connection ended: " + e.getMessage());
-            throw e;
         }
     }
 
-    void answer(Request request, OutputStream out) throws Exception {
+    private void answer(Request request, OutputStream out) throws Exception {
         String requestId = request.fields().get("x-correlation-id");
+        if (requestId == null || !Client.SENT.contains(requestId)) {
+            rig.note(id, "a request that no client sent: " + requestId);
+            out.write(("HTTP/1.1 " + (requestId == null ? "404 Not Found" : "400 Bad Request")
+                    + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        rig.got.put(requestId, Rig.now());
+        rig.note(id, "request " + requestId + " has come whole, X-Time-Left "
+                + request.fields().get("x-time-left"));
         Thread.sleep(firstMillis);
-        out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + chunk(token(requestId, 0))).getBytes(StandardCharsets.UTF_8));
-        out.flush();
         // class complete: a word or two
         int count = "complete".equals(request.fields().get("x-service-class")) ? 20 : tokens;
-        for (int i = 1; i < count; i++) {
-            Thread.sleep(tokenMillis);
-            out.write(chunk(token(requestId, i)).getBytes(StandardCharsets.UTF_8));
-            out.flush();
+        int events = (count + TOKENS_IN_AN_EVENT - 1) / TOKENS_IN_AN_EVENT;
+        for (int i = 0; i < events; i++) {
+            String head = i == 0 ? "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n" : "";
+            write(out, requestId, head + chunk(event(requestId, i, i == events - 1)));
+            Thread.sleep(i == events - 1 ? 0 : (long) tokenMillis * TOKENS_IN_AN_EVENT);
         }
-        String end = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":1200,\"completion_tokens\":" + count
-                + ",\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\n" + "data: [DONE]\n\n";
-        out.write((chunk(end) + "0\r\n\r\n").getBytes(StandardCharsets.UTF_8));
-        out.flush();
+        String end = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":" + request.body().length / 4
+                + ",\"completion_tokens\":" + count + ",\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\n"
+                + "data: [DONE]\n\n";
+        write(out, requestId, chunk(end) + "0\r\n\r\n");
         rig.note(id, "request " + requestId + " is answered whole");
     }
 
-    static String token(String requestId, int number) {
+    private void write(OutputStream out, String requestId, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+        rig.lastEvent.put(requestId, Rig.now());
+    }
+
+    private static String event(String requestId, int number, boolean last) {
         return "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + requestId + "." + number
-                + " \"},\"finish_reason\":null}]}\n\n";
+                + " \"},\"finish_reason\":" + (last ? "\"stop\"" : "null") + "}]}\n\n";
     }
 
-    static String chunk(String text) {
+    private static String chunk(String text) {
         return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
     }
 }
