--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -48,7 +49,7 @@
     Rig(String recordFile) throws IOException {
         temporary = Files.createTempDirectory("review");
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
-        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
         note("begin", "TROUBLE=" + (trouble ? 1 : 0));
     }
 
@@ -203,21 +204,27 @@
         }
     }
 
-    private void killAll() {
+    /** Ends all processes that were started and removes the temporary folder; also when the script is ended. */
+    private void cleanUp() {
         synchronized (processes) {
             for (Process process : processes) {
                 process.descendants().forEach(ProcessHandle::destroyForcibly);
                 process.destroyForcibly();
+                process.onExit().join();
+            }
+        }
+        if (Files.exists(temporary)) {
+            try (Stream<Path> files = Files.walk(temporary)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            } catch (IOException | UncheckedIOException e) {
+                note("rig", "the temporary folder stays: " + e);
             }
         }
     }
 
     @Override
-    public void close() throws IOException {
-        killAll();
-        try (Stream<Path> files = Files.walk(temporary)) {
-            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-        }
+    public void close() {
+        cleanUp();
         record.close();
     }
 
