Review: cases 1 and 2 with more load, inside the same limits

Change: case 1 has shorter header lines, case 2 has 300 clients in place of 200; both stay under a third of the descriptors.

--- a/review/1/HeadsWithoutEnd.java
+++ b/review/1/HeadsWithoutEnd.java
@@ -10,7 +10,7 @@
 final class HeadsWithoutEnd {
     private static final int BAD_CLIENTS = 320;
     private static final int HEAD_BYTES = 32_000;
-    private static final String LINE = "a: b\r\n";
+    private static final String LINE = "a:\r\n";
     /** A bad client is owed an error or a close in this time from connecting; then it goes. */
     private static final double OWED_SECONDS = 3;
 
--- a/review/2/SendMuchAndGo.java
+++ b/review/2/SendMuchAndGo.java
@@ -7,7 +7,7 @@
 
 /** Clients that send much at once and go, beside ordinary clients. */
 final class SendMuchAndGo {
-    private static final int LEAVING_CLIENTS = 200;
+    private static final int LEAVING_CLIENTS = 300;
     private static final int REQUESTS = 4;
     /** Within the 256 KiB that a body may have. */
     private static final int BODY_BYTES = 225_000;
