Bytes of clients that have disconnected are not kept behind a full buffer

Cause: CompleteReadProcessor.readRemainder kept up to 1 MiB as an attribute of the session, and SessionEvents.messageReceived returned for a client whose end was read before it took that away. MINA removes ended sessions after it has read all of them. Evidence: a class histogram during the case, 35.9 MB of byte arrays, 1.1 MB before and after; OutOfMemoryError in readRemainder. Ruled out: the dispatcher's queue (4 MiB at most).

Change: when the end has been read, what is behind the buffer is dropped at once; else it is passed on before the next session is read. The queue's limit counts buffers by their size and 256 bytes a message, and messages that fill less than half of a buffer are copied out of it. Discovery's bytes have a limit of their own, 1 MiB; they had none.

--- a/src/main/java/yewdock/sockets/CompleteReadProcessor.java
+++ b/src/main/java/yewdock/sockets/CompleteReadProcessor.java
@@ -1,6 +1,5 @@
 package yewdock.sockets;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
@@ -23,11 +22,12 @@
 final class CompleteReadProcessor extends NioProcessor {
     /** Set when the end of the connection has been read. */
     private static final AttributeKey ENDED = new AttributeKey(CompleteReadProcessor.class, "ended");
-    /** The bytes that were read after the buffer was full, as a byte[]. */
+    /** The bytes that were read after the buffer was full, as an IoBuffer. */
     private static final AttributeKey REMAINDER = new AttributeKey(CompleteReadProcessor.class, "remainder");
     /** Limit of these bytes: more than a client may send before it gets a response. */
     private static final int MAX_REMAINDER_BYTES = 1 << 20;
     private static final int BUFFER_BYTES = 64 * 1024;
+    private static final int GROWTH_FACTOR = 2;
     /**
      * From this size on, unread bytes may have filled the connection's receive window, with the rest still at
      * the client, which sends it once the window opens, within WINDOW_UPDATE_NANOS.
@@ -109,21 +109,29 @@
         }
     }
 
+    /**
+     * Reads what is behind the full buffer. It is kept only until it is passed on, right after this; bytes of
+     * a client that has disconnected are not passed on, and would stay until the session is removed, which
+     * MINA does after it has read all sessions.
+     */
     private void readRemainder(NioSession session) throws Exception {
-        ByteArrayOutputStream remainder = new ByteArrayOutputStream();
-        IoBuffer buffer = IoBuffer.allocate(BUFFER_BYTES);
+        IoBuffer remainder = IoBuffer.allocate(BUFFER_BYTES);
         long until = System.nanoTime();
         int read = 1;
-        while (remainder.size() < MAX_REMAINDER_BYTES
-                && (read > 0 || read == 0 && System.nanoTime() < until)) {
-            buffer.clear();
-            read = readUnlessReset(session, buffer);
-            remainder.write(buffer.array(), 0, buffer.position());
-            if (read > 0 && remainder.size() >= RECEIVE_WINDOW_BYTES) {
+        while (!isAtEnd(session) && remainder.position() < MAX_REMAINDER_BYTES
+                && (read > 0 || System.nanoTime() < until)) {
+            if (!remainder.hasRemaining()) {
+                int larger = Math.min(GROWTH_FACTOR * remainder.capacity(), MAX_REMAINDER_BYTES);
+                remainder.capacity(larger).limit(larger);
+            }
+            read = readUnlessReset(session, remainder);
+            if (read > 0 && remainder.position() >= RECEIVE_WINDOW_BYTES) {
                 until = System.nanoTime() + WINDOW_UPDATE_NANOS;
             }
         }
-        session.setAttribute(REMAINDER, remainder.toByteArray());
+        if (!isAtEnd(session)) {
+            session.setAttribute(REMAINDER, remainder.flip());
+        }
     }
 
     /** Whether the peer has closed the connection after the bytes that were read last. */
@@ -133,11 +141,11 @@
 
     /** Returns these bytes, which were read last, and all that were read after the buffer was full. */
     ByteBuffer withRemainder(IoSession session, ByteBuffer bytes) {
-        byte[] remainder = (byte[]) session.removeAttribute(REMAINDER);
+        IoBuffer remainder = (IoBuffer) session.removeAttribute(REMAINDER);
         if (remainder == null) {
             return bytes;
         }
-        ByteBuffer all = ByteBuffer.allocate(bytes.remaining() + remainder.length);
-        return all.put(bytes).put(remainder).flip();
+        ByteBuffer all = ByteBuffer.allocate(bytes.remaining() + remainder.remaining());
+        return all.put(bytes).put(remainder.buf()).flip();
     }
 }
--- a/src/main/java/yewdock/sockets/MinaTransport.java
+++ b/src/main/java/yewdock/sockets/MinaTransport.java
@@ -36,6 +36,7 @@
     private static final int MAX_CLOSING_CLIENTS = 24;
     /** Bytes that may be queued before reading stops: MINA reads faster than the dispatcher handles them. */
     private static final int MAX_QUEUED_BYTES = 4 << 20;
+    private static final int MAX_QUEUED_DISCOVERY_BYTES = 1 << 20;
     private static final int MAX_READ_BYTES = 16 * 1024;
     private static final long FINAL_WRITES_MILLIS = 300;
     /** Least time for an attempt to be written; writes take less even on a busy machine. */
@@ -55,6 +56,7 @@
     private final LingeringClose lingering;
     private final ConnectionLimit clientLimit;
     private final Semaphore queueSpace = new Semaphore(MAX_QUEUED_BYTES);
+    private final Semaphore discoverySpace = new Semaphore(MAX_QUEUED_DISCOVERY_BYTES);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final MonotonicClock clock = new MonotonicClock();
     private final long maxWriteDelayMicros;
@@ -80,7 +82,7 @@
         // a single processor, as the router has one core
         processor = new CompleteReadProcessor(executor, this::isExpiredAttempt, MinaTransport::isClient);
         loop = new DispatcherLoop(queue, processor, clock, event -> manager.dispatch(event));
-        events = new SessionEvents(processor, lingering, queueSpace, clock, loop::arrival);
+        events = new SessionEvents(processor, lingering, queueSpace, discoverySpace, clock, loop::arrival);
         acceptor = acceptor(clientLimit, ConnectionPurpose.CLIENT, connection -> manager.accept(connection));
         connector = new NioSocketConnector(executor, processor);
         connector.setHandler(events);
@@ -154,7 +156,7 @@
         Logger.info("operators call {}", operatorAcceptor.getLocalAddress());
     }
 
-    /** How many bytes of clients and servers are queued for the dispatcher. */
+    /** How much memory the queued messages of clients and servers take, with the overhead of each. */
     int queuedBytes() {
         return MAX_QUEUED_BYTES - queueSpace.availablePermits();
     }
--- a/src/main/java/yewdock/sockets/SessionEvents.java
+++ b/src/main/java/yewdock/sockets/SessionEvents.java
@@ -12,21 +12,30 @@
 import yewdock.platform.Arrival;
 import yewdock.platform.ConnectionHandler;
 
-/** Queues the events of MINA's sessions as tasks for the dispatcher. */
+/**
+ * Queues the events of MINA's sessions as tasks for the dispatcher. The memory of queued bytes is limited: if
+ * there is no space, MINA's thread blocks and reads no more.
+ */
 class SessionEvents extends IoHandlerAdapter {
+    /** Memory for the objects of one queued message, in addition to its bytes. */
+    static final int MESSAGE_OVERHEAD_BYTES = 256;
+
     private final CompleteReadProcessor processor;
     private final LingeringClose lingering;
-    /** The bytes that may still be queued: if there is no space, MINA's thread blocks and reads no more. */
+    /** The memory that messages may still take in the queue. */
     private final Semaphore queueSpace;
+    /** The same for those from discovery, which are handled first and must not wait for space of others. */
+    private final Semaphore discoverySpace;
     private final LongSupplier clock;
     /** Gives the arrival of bytes by the time of their reading; called on the dispatcher's thread. */
     private final LongFunction<Arrival> arrival;
 
     SessionEvents(CompleteReadProcessor processor, LingeringClose lingering, Semaphore queueSpace,
-            LongSupplier clock, LongFunction<Arrival> arrival) {
+            Semaphore discoverySpace, LongSupplier clock, LongFunction<Arrival> arrival) {
         this.processor = processor;
         this.lingering = lingering;
         this.queueSpace = queueSpace;
+        this.discoverySpace = discoverySpace;
         this.clock = clock;
         this.arrival = arrival;
     }
@@ -42,16 +51,22 @@
         if (clientHasDisconnected(connection, session)) {
             return;
         }
-        ByteBuffer bytes = processor.withRemainder(session, ((IoBuffer) message).buf());
+        ByteBuffer bytes = trim(processor.withRemainder(session, ((IoBuffer) message).buf()));
         if (connection.isDroppingInput()) {
             drop(connection, session, bytes.remaining());
-        } else if (connection.purpose() == ConnectionPurpose.DISCOVERY) {
-            connection.postToHandler(handler -> handler.onReceived(bytes));
         } else {
             enqueue(connection, bytes);
         }
     }
 
+    /** Copies a message out of a buffer that is mostly empty, since it may be kept for long. */
+    private static ByteBuffer trim(ByteBuffer bytes) {
+        if (bytes.remaining() > bytes.capacity() / 2) {
+            return bytes;
+        }
+        return ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
+    }
+
     /** Whether the sender is a client that has disconnected since: no attempt must be started for it. */
     private static boolean clientHasDisconnected(MinaConnection connection, IoSession session) {
         return connection.purpose() == ConnectionPurpose.CLIENT && CompleteReadProcessor.isAtEnd(session);
@@ -64,12 +79,13 @@
     }
 
     private void enqueue(MinaConnection connection, ByteBuffer bytes) {
-        int size = bytes.remaining();
+        int size = bytes.capacity() + MESSAGE_OVERHEAD_BYTES;
         long readAt = clock.getAsLong();
         connection.countUndelivered();
-        queueSpace.acquireUninterruptibly(size);
+        Semaphore space = connection.purpose() == ConnectionPurpose.DISCOVERY ? discoverySpace : queueSpace;
+        space.acquireUninterruptibly(size);
         connection.postMessage(handler -> handler.onReceived(bytes, arrival.apply(readAt)),
-                () -> queueSpace.release(size));
+                () -> space.release(size));
     }
 
     @Override
--- a/src/test/java/yewdock/faults/GreedyClient.java
+++ b/src/test/java/yewdock/faults/GreedyClient.java
@@ -43,13 +43,30 @@
             out.write(shortLines(MAX_HEAD_BYTES));
             out.write(ascii("\r\n"));
         }
+    },
+    /** Sends whole requests with long bodies in one go and closes the connection. */
+    SENDS_MUCH_AND_CLOSES {
+        @Override
+        void write(OutputStream out, String id) throws IOException {
+            byte[] request = ascii(new String(ClientTraffic.request(id, CLIENT_TIMEOUT_SECONDS),
+                    StandardCharsets.US_ASCII).replace("Content-Length: 2", "Content-Length: "
+                    + LONG_BODY_BYTES) + " ".repeat(LONG_BODY_BYTES - 2));
+            byte[] requests = new byte[REQUESTS_AT_ONCE * request.length];
+            for (int i = 0; i < REQUESTS_AT_ONCE; i++) {
+                System.arraycopy(request, 0, requests, i * request.length, request.length);
+            }
+            out.write(requests);
+            throw new IOException("closing after the requests");
+        }
     };
 
     /** A head may have 32 KiB with its first line and its last. */
     private static final int MAX_HEAD_BYTES = 32_000;
     private static final int LONG_BODY_BYTES = 225_000;
+    private static final int REQUESTS_AT_ONCE = 4;
     /** Within a third of the descriptors that a router has by default. */
     private static final int MANY_CONNECTIONS = 320;
+    private static final double CLIENT_TIMEOUT_SECONDS = 9;
     private static final byte[] REQUEST_LINE = ascii("POST /v1/chat/completions HTTP/1.1\r\n");
 
     /** Writes the input; an IOException makes {@link #attack} close the connection. */
