Responses that clients do not read are limited, and heads of responses are not kept

Change: no further request of a connection is read while more than 16 KiB of its responses are unwritten. A stream's server is no longer read beyond its share of half the memory for requests, 16 to 64 KiB with each chunk's overhead; the client connection counts what is unwritten, exactly. Of a response's head three values are kept.

--- a/src/main/java/yewdock/core/Event.java
+++ b/src/main/java/yewdock/core/Event.java
@@ -40,8 +40,8 @@
     record ClientDisconnected(long client) implements Event {
     }
 
-    /** This many response bytes have been written to the client's connection. */
-    record ClientBytesWritten(long client, int bytes) implements Event {
+    /** Part of a response has been written to the client's connection, and this much memory has not. */
+    record ClientBytesWritten(long client, int unwrittenBytes) implements Event {
     }
 
     /** A connection to a server has been established. */
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -71,7 +71,8 @@
         this.openRequests = new OpenRequests(context, settings, limits, servers, connections,
                 otherGenerations);
         this.attempts = openRequests.attempts();
-        this.responses = new ResponseStreams(context, connections, openRequests);
+        this.responses = new ResponseStreams(context, limits.maxUnwrittenBytes(), connections,
+                openRequests);
         this.commands = new OperatorCommandHandler(context, settings, counters, servers,
                 () -> openRequests.count() + otherGenerations.pendingClaims(),
                 () -> handedOver ? "a newer process serves"
--- a/src/main/java/yewdock/core/ResourceLimits.java
+++ b/src/main/java/yewdock/core/ResourceLimits.java
@@ -21,6 +21,11 @@
     private static final int BYTES_DIVISOR = 8;
     /** Divisor: what clients have sent of incomplete requests may use this fraction of that. */
     private static final int INPUT_DIVISOR = 3;
+    /** Divisor: what clients have not yet taken of their responses may use this fraction of that. */
+    private static final int OUTPUT_DIVISOR = 2;
+    /** Bounds of what one client may leave unwritten of its response. */
+    private static final int MIN_UNWRITTEN_BYTES = 16 * 1024;
+    private static final int MAX_UNWRITTEN_BYTES = 64 * 1024;
     /** Lower bound for the number of connections of each kind. */
     private static final int MIN_CONNECTIONS = 16;
 
@@ -36,4 +41,10 @@
     public int maxInputBytes() {
         return maxRequestBytes / INPUT_DIVISOR;
     }
+
+    /** Returns how much of a response may be unwritten before its server connection is no longer read. */
+    public int maxUnwrittenBytes() {
+        int share = maxRequestBytes / OUTPUT_DIVISOR / maxRequests;
+        return Math.max(MIN_UNWRITTEN_BYTES, Math.min(MAX_UNWRITTEN_BYTES, share));
+    }
 }
--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -19,17 +19,21 @@
      * a server connection.
      */
     static final long SLOW_CLIENT_TIMEOUT_MICROS = 30_000_000;
-    /** Unwritten bytes for a slow client above which its server connection is no longer read. */
-    static final int PAUSE_ABOVE_BYTES = 64 * 1024;
-    /** Unwritten bytes for a slow client at or below which its server connection is read again. */
-    static final int RESUME_AT_BYTES = 16 * 1024;
+    /** Divisor: a paused server connection is read again when this fraction of the limit is unwritten. */
+    private static final int RESUME_DIVISOR = 4;
+    /** Memory for the objects of one unwritten chunk, in addition to its bytes. */
+    private static final int CHUNK_OVERHEAD_BYTES = 256;
 
+    /** Unwritten bytes for a slow client above which its server connection is no longer read. */
+    private final int maxUnwrittenBytes;
     private final ReducerContext context;
     private final ServerConnections connections;
     private final OpenRequests openRequests;
     private final Attempts attempts;
 
-    ResponseStreams(ReducerContext context, ServerConnections connections, OpenRequests openRequests) {
+    ResponseStreams(ReducerContext context, int maxUnwrittenBytes, ServerConnections connections,
+            OpenRequests openRequests) {
+        this.maxUnwrittenBytes = maxUnwrittenBytes;
         this.context = context;
         this.connections = connections;
         this.openRequests = openRequests;
@@ -86,13 +90,13 @@
         }
         OpenRequest request = attempt.request;
         attempt.lastDataAt = context.now();
-        request.unwrittenBytes += event.bytes().remaining();
+        request.unwrittenBytes += event.bytes().remaining() + CHUNK_OVERHEAD_BYTES;
         context.emit(new Effect.ForwardChunk(request.client, event.bytes()));
         if (!request.isStreaming()) {
             attempts.win(attempt);
             context.runAt(context.now() + SILENCE_TIMEOUT_MICROS, () -> checkSilence(attempt));
         }
-        if (request.unwrittenBytes > PAUSE_ABOVE_BYTES) {
+        if (request.unwrittenBytes > maxUnwrittenBytes) {
             connections.pauseReading(connection);
         }
     }
@@ -103,11 +107,11 @@
         if (request == null || !request.isStreaming()) {
             return;
         }
-        request.unwrittenBytes = Math.max(0, request.unwrittenBytes - event.bytes());
+        request.unwrittenBytes = event.unwrittenBytes();
         request.lastWriteAt = context.now();
         ServerConnection connection = request.winner.connection;
         if (connection.readingPaused && connection.attempt == request.winner
-                && request.unwrittenBytes <= RESUME_AT_BYTES) {
+                && request.unwrittenBytes <= maxUnwrittenBytes / RESUME_DIVISOR) {
             request.winner.lastDataAt = context.now();
             connections.resumeReading(connection);
         }
--- a/src/main/java/yewdock/platform/ClientConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ClientConnectionHandler.java
@@ -18,8 +18,10 @@
     private static final double MICROS_PER_SECOND = 1e6;
     /** How many bytes are kept of what a client sends while its previous request is open. */
     private static final int MAX_PIPELINED_BYTES = 64 * 1024;
-    /** Memory for the objects of one received message, in addition to its bytes. */
+    /** Memory for the objects of one received message or one write, in addition to its bytes. */
     private static final int MESSAGE_OVERHEAD_BYTES = 256;
+    /** No further request is read while more than this of earlier responses is unwritten. */
+    private static final int MAX_UNWRITTEN_BYTES = 16 * 1024;
     /** How much a growing body buffer may take in relation to its bytes. */
     private static final int BODY_BUFFER_FACTOR = 2;
 
@@ -30,6 +32,8 @@
     private final Deque<Input> unreadInput = new ArrayDeque<>();
     /** Memory of the unread input. */
     private int unreadBytes;
+    /** Memory of what has been written to the connection and not yet to its socket. */
+    private int unwrittenBytes;
     /** Whether {@link #readRequests} is running: a request may be answered while it is read. */
     private boolean readingRequests;
     /** When the first byte of the current request arrived, from which its timeout is counted. */
@@ -112,6 +116,12 @@
     private void dropUnreadInput() {
         inputOverflowed = true;
         clearUnread();
+        if (!requestOpen && !closing) {
+            // the client has not read its earlier responses
+            discardRequest();
+            closing = true;
+            connection.closeLingering();
+        }
     }
 
     /** Copies the rest of a message that has been read in part, whose buffer may be much larger. */
@@ -169,7 +179,7 @@
     }
 
     private boolean canReadRequest() {
-        return !requestOpen && !closing && !unreadInput.isEmpty();
+        return !requestOpen && !closing && !unreadInput.isEmpty() && unwrittenBytes <= MAX_UNWRITTEN_BYTES;
     }
 
     /** Reads up to the end of the current request or of the oldest unread message. */
@@ -296,7 +306,7 @@
         byte[] prefixBytes = prefix.toString().getBytes(StandardCharsets.ISO_8859_1);
         ByteBuffer chunk = ByteBuffer.allocate(prefixBytes.length + bytes.remaining() + 2);
         chunk.put(prefixBytes).put(bytes).put((byte) '\r').put((byte) '\n').flip();
-        connection.write(chunk);
+        write(chunk);
     }
 
     void endResponse() {
@@ -374,13 +384,23 @@
     }
 
     private void write(String text) {
-        connection.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void write(ByteBuffer bytes) {
+        unwrittenBytes += bytes.remaining() + MESSAGE_OVERHEAD_BYTES;
+        connection.write(bytes);
     }
 
     @Override
     public void onWritten(int bytes) {
+        unwrittenBytes -= bytes + MESSAGE_OVERHEAD_BYTES;
         if (requestOpen && responseStarted) {
-            manager.dispatch(new Event.ClientBytesWritten(clientId, bytes));
+            manager.dispatch(new Event.ClientBytesWritten(clientId, unwrittenBytes));
+        }
+        if (canReadRequest()) {
+            readRequests();
+            updateInputMemory();
         }
     }
 
--- a/src/main/java/yewdock/platform/ServerConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ServerConnectionHandler.java
@@ -28,14 +28,14 @@
     private final long connectionId;
     private final Connection connection;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.RESPONSE, this);
-    private final EventStreamLineReader events = new EventStreamLineReader(this::onEventLine,
-            this::onEventEnd);
+    /** Splits the current response; null between responses. */
+    private EventStreamLineReader events;
     /**
      * What has been received of a stream whose first event is not complete. If the server connection breaks
      * after a client has got a part of that event, the client can only be disconnected; as long as it has
      * got nothing, the request can be retried on another server.
      */
-    private final ByteArrayOutputStream pendingStart = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pendingStart = new ByteArrayOutputStream();
     private boolean dataLineSeen;
     private boolean firstEventComplete;
     private boolean attemptOpen;
@@ -44,11 +44,20 @@
     /** Whether an earlier attempt on this connection got a complete response. */
     private boolean respondedBefore;
     private int unwrittenBytes;
-    private MessageHead head;
+    /** What is kept of the current response's head; null before it. */
+    private ResponseHead head;
     private LoadReport loadReport;
     private long cachedTokens;
     private boolean closing;
 
+    /** The part of a response's head that counts after it: the whole head may be large. */
+    private record ResponseHead(int status, boolean keepsAlive, boolean unprocessed) {
+        static ResponseHead of(MessageHead head) {
+            return new ResponseHead(head.status(), head.keepsAlive(),
+                    "1".equals(head.field("X-Unprocessed")));
+        }
+    }
+
     ServerConnectionHandler(ConnectionManager manager, long connectionId, Connection connection) {
         this.manager = manager;
         this.connectionId = connectionId;
@@ -80,7 +89,8 @@
         bodyStarted = false;
         firstEventComplete = false;
         dataLineSeen = false;
-        pendingStart.reset();
+        pendingStart = new ByteArrayOutputStream();
+        events = new EventStreamLineReader(this::onEventLine, this::onEventEnd);
         head = null;
         loadReport = null;
         cachedTokens = 0;
@@ -136,7 +146,7 @@
 
     @Override
     public void head(MessageHead read) {
-        head = read;
+        head = ResponseHead.of(read);
         loadReport = LoadReports.of(read.field(LoadReports.HEADER));
     }
 
@@ -163,7 +173,7 @@
     private void flushPendingStart() {
         bodyStarted = true;
         ByteBuffer start = ByteBuffer.wrap(pendingStart.toByteArray());
-        pendingStart.reset();
+        pendingStart = new ByteArrayOutputStream(0);
         manager.dispatch(new Event.ResponseChunk(connectionId, start));
     }
 
@@ -180,11 +190,14 @@
         respondedBefore = true;
         Outcome outcome = switch (head.status()) {
             case 200 -> Outcome.OK;
-            case 503, 504 -> "1".equals(head.field("X-Unprocessed")) ? Outcome.FULL : Outcome.ERROR;
+            case 503, 504 -> head.unprocessed() ? Outcome.FULL : Outcome.ERROR;
             default -> Outcome.ERROR;
         };
-        manager.dispatch(new Event.ResponseCompleted(connectionId, outcome,
-                nothingBehind && unwrittenBytes == 0 && head.keepsAlive(), cachedTokens, loadReport));
+        boolean reusable = nothingBehind && unwrittenBytes == 0 && head.keepsAlive();
+        head = null;
+        events = null;
+        manager.dispatch(new Event.ResponseCompleted(connectionId, outcome, reusable, cachedTokens,
+                loadReport));
     }
 
     /** A stream's last lines carry the load report, in a comment, and how many prompt tokens were cached. */
--- a/src/main/java/yewdock/verification/DeploymentSimulation.java
+++ b/src/main/java/yewdock/verification/DeploymentSimulation.java
@@ -294,7 +294,7 @@
         } else if (request.streamConnection != connection) {
             violation("streams: request " + request.clientId + " has a chunk of another attempt");
         }
-        runAfter(100, () -> dispatch(new Event.ClientBytesWritten(e.client(), 8)));
+        runAfter(100, () -> dispatch(new Event.ClientBytesWritten(e.client(), 0)));
     }
 
     // ---- connections and servers
--- a/src/test/java/yewdock/faults/GreedyClient.java
+++ b/src/test/java/yewdock/faults/GreedyClient.java
@@ -58,6 +58,21 @@
             out.write(requests);
             throw new IOException("closing after the requests");
         }
+    },
+    /** Asks for a long response again and again and reads none. */
+    READS_NOTHING {
+        @Override
+        void write(OutputStream out, String id) throws IOException {
+            byte[] requests = ascii("GET /counters HTTP/1.1\r\n\r\n".repeat(PIPELINED_REQUESTS));
+            for (int i = 0; i < PIPELINED_TIMES; i++) {
+                out.write(requests);
+            }
+        }
+
+        @Override
+        int connectionCount() {
+            return FEW_CONNECTIONS;
+        }
     };
 
     /** A head may have 32 KiB with its first line and its last. */
@@ -66,6 +81,9 @@
     private static final int REQUESTS_AT_ONCE = 4;
     /** Within a third of the descriptors that a router has by default. */
     private static final int MANY_CONNECTIONS = 320;
+    private static final int FEW_CONNECTIONS = 8;
+    private static final int PIPELINED_REQUESTS = 500;
+    private static final int PIPELINED_TIMES = 100;
     private static final double CLIENT_TIMEOUT_SECONDS = 9;
     private static final byte[] REQUEST_LINE = ascii("POST /v1/chat/completions HTTP/1.1\r\n");
 
@@ -91,15 +109,18 @@
         try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
             socket.setTcpNoDelay(true);
             write(socket.getOutputStream(), id);
-            while (System.nanoTime() < untilNanos) {
+            while (this != READS_NOTHING && System.nanoTime() < untilNanos) {
                 socket.setSoTimeout((int) Math.max(1,
                         TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime())));
                 if (socket.getInputStream().read() < 0) {
                     return;
                 }
             }
+            TimeUnit.NANOSECONDS.sleep(untilNanos - System.nanoTime());
         } catch (IOException e) {
             // the router has closed the connection, or the client was to close it
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 }
