Peers: a first frame is short, and the bytes of the queue are limited

Change: the first frame has 16 KiB at most; the queue has 32 MiB for a peer and 64 MiB for the control socket, beside its number of frames. Beyond it the connection is closed, as before at the number of frames.

--- a/src/main/java/yewdock/daemon/ControlConnection.java
+++ b/src/main/java/yewdock/daemon/ControlConnection.java
@@ -14,9 +14,10 @@
     /** Largest frame in bytes; a state with thousands of servers takes under 1 MiB. */
     private static final int MAX_FRAME_BYTES = 32 << 20;
     private static final int MAX_QUEUED_FRAMES = 20_000;
+    private static final long MAX_QUEUED_BYTES = 64 << 20;
 
     ControlConnection(SocketChannel channel) {
-        super(channel, Frame.parser(), MAX_FRAME_BYTES, MAX_QUEUED_FRAMES, 0);
+        super(channel, Frame.parser(), MAX_FRAME_BYTES, MAX_QUEUED_FRAMES, MAX_QUEUED_BYTES, 0);
     }
 
     /** Connects to the control socket in this folder. */
--- a/src/main/java/yewdock/daemon/FramedConnection.java
+++ b/src/main/java/yewdock/daemon/FramedConnection.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 /**
@@ -23,19 +24,23 @@
     private final Parser<F> parser;
     private final int maxFrameBytes;
     private final double maxBytesPerSecond;
+    private final long maxQueuedBytes;
     private final BlockingQueue<ByteBuffer> sendQueue;
+    /** The length of the frames in the queue and of the one that is being written. */
+    private final AtomicLong queuedBytes = new AtomicLong();
     private volatile boolean closed;
     private Thread writer;
 
     /**
-     * Wraps a connected channel. Limits the size of a received frame in bytes, the number of queued frames,
-     * and the bytes read per second (0: no limit).
+     * Wraps a connected channel. Limits the size of a received frame in bytes, the number of queued frames
+     * and their bytes together, and the bytes read per second (0: no limit).
      */
     FramedConnection(SocketChannel channel, Parser<F> parser, int maxFrameBytes, int maxQueuedFrames,
-            double maxBytesPerSecond) {
+            long maxQueuedBytes, double maxBytesPerSecond) {
         this.channel = channel;
         this.parser = parser;
         this.maxFrameBytes = maxFrameBytes;
+        this.maxQueuedBytes = maxQueuedBytes;
         this.maxBytesPerSecond = maxBytesPerSecond;
         this.sendQueue = new LinkedBlockingQueue<>(maxQueuedFrames);
     }
@@ -49,7 +54,7 @@
             try {
                 long budgetUsedUntil = System.nanoTime();
                 while (true) {
-                    F frame = read();
+                    F frame = read(maxFrameBytes);
                     onFrame.accept(frame);
                     budgetUsedUntil = limitRate(budgetUsedUntil, frame.getSerializedSize());
                 }
@@ -79,7 +84,7 @@
         if (closed) {
             return false;
         }
-        if (!sendQueue.offer(message)) {
+        if (queuedBytes.addAndGet(message.remaining()) > maxQueuedBytes || !sendQueue.offer(message)) {
             close();
             return false;
         }
@@ -88,6 +93,7 @@
 
     /** Queues bytes that need not be a frame; for fault injection. */
     public final void sendRaw(byte[] bytes) {
+        queuedBytes.addAndGet(bytes.length);
         sendQueue.add(ByteBuffer.wrap(bytes));
     }
 
@@ -117,9 +123,11 @@
     private void write() {
         try {
             for (ByteBuffer next = sendQueue.take(); next != END; next = sendQueue.take()) {
+                int length = next.remaining();
                 while (next.hasRemaining()) {
                     channel.write(next);
                 }
+                queuedBytes.addAndGet(-length);
             }
         } catch (IOException e) {
             close();
@@ -145,14 +153,14 @@
         return due;
     }
 
-    /** Reads the first frame; to be called before {@link #start}. */
-    final F readFirst() throws IOException {
-        return read();
+    /** Reads the first frame, of this length at most; to be called before {@link #start}. */
+    final F readFirst(int maxBytes) throws IOException {
+        return read(maxBytes);
     }
 
-    private F read() throws IOException {
+    private F read(int maxBytes) throws IOException {
         int length = readFully(ByteBuffer.allocate(Integer.BYTES)).getInt();
-        if (length < 0 || length > maxFrameBytes) {
+        if (length < 0 || length > maxBytes) {
             throw new IOException("frame length out of range: " + length + " bytes");
         }
         return parser.parseFrom(readFully(ByteBuffer.allocate(length)));
--- a/src/main/java/yewdock/daemon/PeerConnections.java
+++ b/src/main/java/yewdock/daemon/PeerConnections.java
@@ -34,7 +34,10 @@
     }
 
     private static final int MAX_FRAME_BYTES = 4 << 20;
+    /** Longest first frame, which any process that connects may send. */
+    private static final int MAX_HELLO_BYTES = 16 * 1024;
     private static final int MAX_QUEUED_FRAMES = 1_000;
+    private static final long MAX_QUEUED_BYTES = 32 << 20;
     private static final int MAX_UNIDENTIFIED = 16;
     private static final int HELLO_TIMEOUT_MILLIS = 2_000;
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
@@ -78,7 +81,7 @@
     private FramedConnection<PeerFrame> wrap(SocketChannel channel) throws IOException {
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
         return new FramedConnection<>(channel, PeerFrame.parser(), MAX_FRAME_BYTES, MAX_QUEUED_FRAMES,
-                settings.readMegabytesPerSecond() * BYTES_PER_MEGABYTE);
+                MAX_QUEUED_BYTES, settings.readMegabytesPerSecond() * BYTES_PER_MEGABYTE);
     }
 
     private void keepConnected(String name, InetSocketAddress address) {
@@ -136,7 +139,7 @@
         timeout.start();
         try {
             FramedConnection<PeerFrame> connection = wrap(channel);
-            PeerFrame first = connection.readFirst();
+            PeerFrame first = connection.readFirst(MAX_HELLO_BYTES);
             timeout.interrupt();
             String name = first.getHello().getInstance();
             if (!settings.peers().containsKey(name) || settings.instance().compareTo(name) < 0) {
