--- a/src/main/java/yewdock/daemon/StandaloneRouter.java
+++ b/src/main/java/yewdock/daemon/StandaloneRouter.java
@@ -28,6 +28,7 @@
 
     /** Serves with the configuration in this file until the process ends; returns the exit code. */
     public static int run(String configFile, HandoverFactory factory) {
+        FatalErrors.haltProcess();
         Consumer<String> log = line -> Logger.info("{}", line);
         if (configFile == null) {
             Logger.error("the configuration can't be read: PROXY_CONFIG is not set");
