Endpoint lists are limited in values, and their buffer is freed

Change: a list has 4 MiB and 131,072 values at most (3,200 servers have some 30,000); beyond that the call has failed, as for an answer that can't be read, and its connection closes. The buffer goes with the list.

--- a/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
+++ b/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
@@ -13,6 +13,8 @@
 /** A discovery connection: polls for the endpoint list, one request at a time. */
 final class DiscoveryConnectionHandler implements ConnectionHandler, MessageReader.Sink {
     private static final int MAX_LIST_BYTES = 4 << 20;
+    /** Longest list in values: each takes some hundred bytes when it is parsed. */
+    private static final int MAX_LIST_VALUES = 128 * 1024;
     private static final int OK = 200;
 
     private final ConnectionManager manager;
@@ -20,7 +22,9 @@
     private final String host;
     private final Connection connection;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.RESPONSE, this);
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** The number of bytes in the body that begin a value: more values are never parsed. */
+    private int bodyValues;
     private MessageHead head;
     private String pendingRequest;
     private boolean connected;
@@ -93,6 +97,7 @@
             return;
         }
         EndpointList list = listReader.read(body.toString(StandardCharsets.UTF_8));
+        clearBody();
         requestOpen = false;
         if (head.keepsAlive()) {
             manager.listReceived(this, list);
@@ -127,16 +132,26 @@
     @Override
     public void head(MessageHead read) {
         head = read;
-        body.reset();
+        clearBody();
+    }
+
+    /** Frees the buffer: the connection may rest for long. */
+    private void clearBody() {
+        body = new ByteArrayOutputStream();
+        bodyValues = 0;
     }
 
     @Override
-    public void body(ByteBuffer piece) {
+    public void body(ByteBuffer piece) throws BadMessageException {
         byte[] bytes = new byte[piece.remaining()];
         piece.get(bytes);
-        if (body.size() + bytes.length <= MAX_LIST_BYTES) {
-            body.writeBytes(bytes);
+        for (byte b : bytes) {
+            bodyValues += b == ',' || b == '{' || b == '[' ? 1 : 0;
+        }
+        if (body.size() + bytes.length > MAX_LIST_BYTES || bodyValues > MAX_LIST_VALUES) {
+            throw new BadMessageException(502, "the list is too long");
         }
+        body.writeBytes(bytes);
     }
 
     @Override
