--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -24,11 +24,6 @@
      * are closed after this delay in microseconds.
      */
     static final long CLOSE_IDLE_AFTER_MICROS = 500_000;
-    /**
-     * Time in microseconds after the start of a shutdown in which requests are accepted. The process may be
-     * killed before it has served a later one, whose client can still send it elsewhere.
-     */
-    static final long ACCEPT_AFTER_SHUTDOWN_MICROS = 700_000;
     /** Earliest exit after the start of a shutdown, in microseconds. */
     static final long MIN_SHUTDOWN_MICROS = 800_000;
     /**
@@ -57,7 +52,6 @@
     private boolean relaying;
     /** Time limit for open requests after another generation took over, in microseconds. */
     private long finishUntil;
-    private long acceptUntil = Long.MAX_VALUE;
     private long exitAt;
     private boolean stopped;
 
@@ -374,9 +368,6 @@
         } else if (context.inDoubt()) {
             context.count("answers.refused_in_doubt");
             refuseDirectly(event, context.retryAfterMicros());
-        } else if (context.now() > acceptUntil) {
-            context.count("answers.refused_leaving");
-            refuseDirectly(event, 0);
         } else if (otherGenerations.mustClaim()) {
             otherGenerations.claim(event);
         } else {
@@ -591,7 +582,6 @@
     private void shutDown() {
         if (!shuttingDown) {
             shuttingDown = true;
-            acceptUntil = context.now() + ACCEPT_AFTER_SHUTDOWN_MICROS;
             exitAt = context.now() + MIN_SHUTDOWN_MICROS;
             context.log("leaving");
             context.runAt(context.now() + CLOSE_IDLE_AFTER_MICROS, () ->
