--- a/src/test/java/yewdock/sockets/DisconnectedClientTest.java
+++ b/src/test/java/yewdock/sockets/DisconnectedClientTest.java
@@ -1,6 +1,7 @@
 package yewdock.sockets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -79,13 +80,16 @@
     @Test
     void disconnectedClientsCauseNoAttempts() throws Exception {
         CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch started = new CountDownLatch(1);
         transport.post(() -> {
+            started.countDown();
             try {
                 busy.await(30, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         });
+        assertTrue(started.await(10, TimeUnit.SECONDS), "the dispatcher did not become busy");
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             Socket client = sendRequest("a" + i);
