Tests: one blockDispatcher for two classes; a greedy client says whether it reads

Seen on reading the change once more: DisconnectedClientTest blocked the dispatcher with its own copy of IdleCloseTest.blockDispatcher; GreedyClient.attack asked whether it was READS_NOTHING. Change: blockDispatcher stands in ServingTransport for both, releasing after 30 s at most; readsResponses() beside connectionCount(). Assertions as before; the wait for the busy dispatcher is the assertion that stood in both. No program change.

--- a/src/test/java/yewdock/faults/GreedyClient.java
+++ b/src/test/java/yewdock/faults/GreedyClient.java
@@ -73,6 +73,11 @@
         int connectionCount() {
             return FEW_CONNECTIONS;
         }
+
+        @Override
+        boolean readsResponses() {
+            return false;
+        }
     };
 
     /** A head may have 32 KiB with its first line and its last. */
@@ -97,6 +102,11 @@
         return MANY_CONNECTIONS;
     }
 
+    /** Whether the client reads what the router sends, and so notices the end of its connection. */
+    boolean readsResponses() {
+        return true;
+    }
+
     private static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
@@ -111,7 +121,7 @@
         try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
             socket.setTcpNoDelay(true);
             write(socket.getOutputStream(), id);
-            while (this != READS_NOTHING && System.nanoTime() < untilNanos) {
+            while (readsResponses() && System.nanoTime() < untilNanos) {
                 socket.setSoTimeout((int) Math.max(1,
                         TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime())));
                 if (socket.getInputStream().read() < 0) {
--- a/src/test/java/yewdock/sockets/DisconnectedClientTest.java
+++ b/src/test/java/yewdock/sockets/DisconnectedClientTest.java
@@ -1,7 +1,6 @@
 package yewdock.sockets;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -79,17 +78,7 @@
     /** Many clients send a request and disconnect while the dispatcher is busy: the disconnects go first. */
     @Test
     void disconnectedClientsCauseNoAttempts() throws Exception {
-        CountDownLatch busy = new CountDownLatch(1);
-        CountDownLatch started = new CountDownLatch(1);
-        transport.post(() -> {
-            started.countDown();
-            try {
-                busy.await(30, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        assertTrue(started.await(10, TimeUnit.SECONDS), "the dispatcher did not become busy");
+        CountDownLatch blocked = serving.blockDispatcher();
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             Socket client = sendRequest("a" + i);
@@ -104,7 +93,7 @@
             Thread.onSpinWait();
         }
         assertEquals(CLIENTS, transport.urgentWaiting(), "queued disconnects");
-        busy.countDown();
+        blocked.countDown();
         assertEquals(0, counterValue("lines.opened"), "server connections were opened for nobody");
         assertEquals(0, counterValue("answers.left_before"));
         for (Socket client : clients) {
--- a/src/test/java/yewdock/sockets/IdleCloseTest.java
+++ b/src/test/java/yewdock/sockets/IdleCloseTest.java
@@ -76,22 +76,6 @@
         serving.onDispatcher(() -> { });
     }
 
-    /** Blocks the dispatcher until the returned latch is counted down. */
-    private CountDownLatch blockDispatcher() throws Exception {
-        CountDownLatch started = new CountDownLatch(1);
-        CountDownLatch release = new CountDownLatch(1);
-        transport.post(() -> {
-            started.countDown();
-            try {
-                release.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        assertTrue(started.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-        return release;
-    }
-
     private void sendAndAwaitRead(Socket client) throws Exception {
         client.getOutputStream().write(REQUEST);
         await(() -> transport.queuedBytes()
@@ -109,7 +93,7 @@
     void requestThatCrossesACloseForRoomIsAnswered() throws Exception {
         try (Socket oldest = connect()) {
             awaitAccepted();
-            CountDownLatch blocked = blockDispatcher();
+            CountDownLatch blocked = serving.blockDispatcher();
             try (Socket second = connect(); Socket third = connect()) {
                 await(() -> transport.connectionsAccepted() == MAX_CLIENTS + 1);
                 sendAndAwaitRead(oldest);
@@ -127,7 +111,7 @@
             awaitAccepted();
             serving.onDispatcher(() -> manager.dispatch(new Event.ShutdownRequested()));
             long shutdownStartedAt = System.nanoTime();
-            CountDownLatch blocked = blockDispatcher();
+            CountDownLatch blocked = serving.blockDispatcher();
             sendAndAwaitRead(client);
             await(() -> System.nanoTime() - shutdownStartedAt
                     > TimeUnit.MILLISECONDS.toNanos(IDLE_CLOSE_MILLIS));
--- a/src/test/java/yewdock/sockets/ServingTransport.java
+++ b/src/test/java/yewdock/sockets/ServingTransport.java
@@ -1,7 +1,10 @@
 package yewdock.sockets;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import umberspread.GenerationRouter;
 import yewdock.core.CoreSettings;
@@ -52,6 +55,22 @@
         done.get(10, TimeUnit.SECONDS);
     }
 
+    /** Blocks the dispatcher until the returned latch is counted down, for 30 s at most. */
+    CountDownLatch blockDispatcher() throws InterruptedException {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        transport.post(() -> {
+            started.countDown();
+            try {
+                release.await(30, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(started.await(10, TimeUnit.SECONDS), "the dispatcher did not become busy");
+        return release;
+    }
+
     void stop() throws InterruptedException {
         transport.post(transport::stop);
         thread.join(10_000);
