Log and count why requests are retried or closed without a complete response

Change: the reducer reports failed attempts, further attempts and closed requests as typed transitions (core.RequestTransition, core.CloseReason), daemon.RequestTransitionLog writes them, 40 lines a second at most, and requests.closed.REASON counts them. Measured: RequestTransitionLogTest, RecordedExchangesTest, ResourceLimitsTest, ServeTest, SimulationTest pass.

--- a/src/main/java/yewdock/core/Attempts.java
+++ b/src/main/java/yewdock/core/Attempts.java
@@ -101,6 +101,10 @@
         connection.attempt = attempt;
         attempt.connection = connection;
         context.count("tries.sent");
+        if (attempt.number > 0) {
+            context.report(new RequestTransition.Retried(attempt.request.clientRequestId, attempt.number,
+                    serverName(attempt)));
+        }
         if (otherGenerations.mustClaim()) {
             context.emit(new Effect.SendToGenerations(new GenerationMessage.AttemptSent(attempt.token(),
                     attempt.serverId)));
@@ -170,6 +174,10 @@
             context.emit(new Effect.SendToGenerations(new GenerationMessage.AttemptEnded(attempt.token())));
         }
         long elapsedMicros = context.now() - attempt.createdAt;
+        if (outcome != Outcome.OK) {
+            context.report(new RequestTransition.AttemptFailed(request.clientRequestId, attempt.number,
+                    serverName(attempt), outcome, attempt.written, elapsedMicros));
+        }
         boolean requestEnded = request.ended;
         context.callModule(request.id, m -> m.attemptEnded(context.now(), request.id, attempt.number, outcome,
                 elapsedMicros, requestEnded, cachedTokens, loadReport));
@@ -185,6 +193,14 @@
         whenEnded.accept(request);
     }
 
+    private String serverName(Attempt attempt) {
+        if (attempt.connection != null) {
+            return attempt.connection.server.name();
+        }
+        ModelServer server = servers.get(attempt.serverId);
+        return server == null ? "" : server.name();
+    }
+
     // ---- connection events
 
     /** The connection is established: sends its attempt, unless its server may no longer get work. */
--- a/src/main/java/yewdock/core/Effect.java
+++ b/src/main/java/yewdock/core/Effect.java
@@ -98,6 +98,10 @@
     record SendGenerationState(GenerationState state) implements Effect {
     }
 
+    /** Report a step in the life of a request, for the log. */
+    record ReportTransition(RequestTransition transition) implements Effect {
+    }
+
     /** Write a log line. */
     record Log(String message) implements Effect {
     }
--- a/src/main/java/yewdock/core/OpenRequest.java
+++ b/src/main/java/yewdock/core/OpenRequest.java
@@ -11,6 +11,8 @@
     final long client;
     final int memoryBytes;
     final int requestClass;
+    /** When the request was accepted, in microseconds. */
+    final long acceptedAt;
     /** When the client stops waiting for the first token, in microseconds. */
     final long deadline;
     /** Attempts whose connection is not known to be closed, in the order in which they were sent. */
@@ -30,12 +32,13 @@
     /** When stream bytes were last written to the client's connection, in microseconds. */
     long lastWriteAt;
 
-    OpenRequest(long id, ModelRequest request, long client, long deadline) {
+    OpenRequest(long id, ModelRequest request, long client, long acceptedAt, long deadline) {
         this.id = id;
         this.clientRequestId = request.id();
         this.client = client;
         this.memoryBytes = request.memoryBytes();
         this.requestClass = request.requestClass();
+        this.acceptedAt = acceptedAt;
         this.deadline = deadline;
     }
 
--- a/src/main/java/yewdock/core/OpenRequests.java
+++ b/src/main/java/yewdock/core/OpenRequests.java
@@ -102,13 +102,14 @@
         if (requests.size() >= limits.maxRequests() || requestBytes
                 + received.memoryBytes() > limits.maxRequestBytes()) {
             context.count("answers.refused_for_room");
+            context.reportClosed(received.id(), CloseReason.REFUSED_AT_LIMIT, false, waitedMicros);
             countEnd(received, RequestOutcome.REJECTED);
             context.emit(new Effect.Refuse(event.client(), 0));
             releaseId(received.id());
             return;
         }
         long timeoutMicros = Math.max(0, received.timeoutMicros() - waitedMicros);
-        OpenRequest request = new OpenRequest(++lastId, received, event.client(),
+        OpenRequest request = new OpenRequest(++lastId, received, event.client(), context.now(),
                 context.now() + timeoutMicros);
         requestBytes += request.memoryBytes;
         requests.put(request.id, request);
@@ -124,6 +125,7 @@
     /** Rejects a request whose id belongs to an open request. */
     void rejectDuplicate(Event.RequestReceived event) {
         context.count("answers.twin");
+        context.reportClosed(event.request().id(), CloseReason.DUPLICATE_ID, false, 0);
         countEnd(event.request(), RequestOutcome.FAILED);
         context.emit(new Effect.RejectDuplicate(event.client()));
     }
@@ -132,6 +134,7 @@
         OpenRequest request = byClient.get(client);
         if (request != null) {
             context.count(request.isStreaming() ? "answers.left_midway" : "answers.left_before");
+            reportClosed(request, CloseReason.CLIENT_LEFT);
             finish(request, RequestOutcome.FAILED);
             context.callModule(request.id, m -> m.requestAbandoned(context.now(), request.id));
             attempts.closeAll(request, Outcome.CANCELLED);
@@ -142,7 +145,7 @@
     private void failIfUnanswered(OpenRequest request) {
         if (!request.ended && !request.isStreaming()) {
             context.count("answers.overdue");
-            failAndReport(request, Outcome.TIMEOUT);
+            failAndReport(request, Outcome.TIMEOUT, CloseReason.DEADLINE);
         }
     }
 
@@ -150,6 +153,7 @@
         OpenRequest request = requests.get(id);
         if (request != null && !request.ended && !request.isStreaming()) {
             context.count("answers.refused");
+            reportClosed(request, CloseReason.REFUSED_BY_MODULE);
             finish(request, RequestOutcome.REJECTED);
             context.emit(new Effect.Refuse(request.client, retryAfterMicros));
             attempts.closeAll(request, Outcome.CANCELLED);
@@ -160,11 +164,12 @@
      * Answers with a failure or, if the client has part of a stream, closes its connection. Attempts in
      * flight are closed and end with the given outcome.
      */
-    void fail(OpenRequest request, Outcome attemptOutcome) {
+    void fail(OpenRequest request, Outcome attemptOutcome, CloseReason reason) {
         if (request.ended) {
             return;
         }
         context.count(request.isStreaming() ? "answers.cut_off" : "answers.failed");
+        reportClosed(request, reason);
         finish(request, RequestOutcome.FAILED);
         context.emit(request.isStreaming() ? new Effect.AbortResponse(request.client)
                 : new Effect.Fail(request.client));
@@ -172,8 +177,8 @@
     }
 
     /** Fails a request on the reducer's own account and tells the module that it is gone. */
-    void failAndReport(OpenRequest request, Outcome attemptOutcome) {
-        fail(request, attemptOutcome);
+    void failAndReport(OpenRequest request, Outcome attemptOutcome, CloseReason reason) {
+        fail(request, attemptOutcome, reason);
         context.callModule(request.id, m -> m.requestAbandoned(context.now(), request.id));
     }
 
@@ -189,15 +194,21 @@
     /**
      * The attempt's stream broke: closes the client's connection so that the response counts as incomplete.
      */
-    void abortIfStreaming(Attempt attempt) {
+    void abortIfStreaming(Attempt attempt, CloseReason reason) {
         OpenRequest request = attempt.request;
         if (attempt.isWinner() && !request.ended) {
             context.count("answers.cut_off");
+            reportClosed(request, reason);
             context.emit(new Effect.AbortResponse(request.client));
             finish(request, RequestOutcome.FAILED);
         }
     }
 
+    private void reportClosed(OpenRequest request, CloseReason reason) {
+        context.reportClosed(request.clientRequestId, reason, request.isStreaming(),
+                context.now() - request.acceptedAt);
+    }
+
     private void finish(OpenRequest request, RequestOutcome outcome) {
         request.ended = true;
         countEnd(request.requestClass, outcome);
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -210,8 +210,7 @@
             clients.idle(e.client());
         } else if (event instanceof Event.ClientDisconnected e) {
             clients.disconnected(e.client());
-            otherGenerations.clientDisconnected(e.client()).forEach(
-                    abandoned -> openRequests.countEnd(abandoned.request(), RequestOutcome.FAILED));
+            otherGenerations.clientDisconnected(e.client()).forEach(this::claimAbandoned);
             openRequests.clientDisconnected(e.client());
         } else if (event instanceof Event.Tick) {
             for (Runnable task = context.timers().poll(context.now()); task != null;
@@ -281,7 +280,7 @@
             context.log("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
             OpenRequest request = openRequests.get(step.requestId());
             if (request != null && !request.ended) {
-                openRequests.failAndReport(request, Outcome.CANCELLED);
+                openRequests.failAndReport(request, Outcome.CANCELLED, CloseReason.FAULT);
             }
         }
     }
@@ -338,7 +337,7 @@
             context.queueAction(requestId, () -> {
                 OpenRequest request = openRequests.get(requestId);
                 if (request != null) {
-                    openRequests.fail(request, Outcome.CANCELLED);
+                    openRequests.fail(request, Outcome.CANCELLED, CloseReason.FAILED_BY_MODULE);
                 }
             });
         }
@@ -367,7 +366,7 @@
             openRequests.rejectDuplicate(event);
         } else if (context.inDoubt()) {
             context.count("answers.refused_in_doubt");
-            refuseDirectly(event, context.retryAfterMicros());
+            refuseDirectly(event, context.retryAfterMicros(), CloseReason.REFUSED_WITHOUT_LEASE);
         } else if (otherGenerations.mustClaim()) {
             otherGenerations.claim(event);
         } else {
@@ -376,8 +375,9 @@
     }
 
     /** Refuses a request that the module has not been told of. */
-    private void refuseDirectly(Event.RequestReceived event, long retryAfterMicros) {
+    private void refuseDirectly(Event.RequestReceived event, long retryAfterMicros, CloseReason reason) {
         context.count("answers.refused");
+        context.reportClosed(event.request().id(), reason, false, 0);
         openRequests.countEnd(event.request(), RequestOutcome.REJECTED);
         context.emit(new Effect.Refuse(event.client(), retryAfterMicros));
     }
@@ -501,7 +501,7 @@
 
         @Override
         public void refuse(Event.RequestReceived event) {
-            Reducer.this.refuseDirectly(event, 0);
+            Reducer.this.refuseDirectly(event, 0, CloseReason.REFUSED_UNCLAIMED);
         }
     }
 
@@ -524,6 +524,12 @@
         }
     }
 
+    /** Handles a request whose client left while the owner of the request ids was asked. */
+    private void claimAbandoned(Event.RequestReceived abandoned) {
+        context.reportClosed(abandoned.request().id(), CloseReason.CLIENT_LEFT, false, 0);
+        openRequests.countEnd(abandoned.request(), RequestOutcome.FAILED);
+    }
+
     private void reportAttemptEnded(int generation, long token) {
         context.callModule(0, m -> m.otherGenerationEnded(context.now(), generation + "/" + token));
     }
@@ -567,7 +573,7 @@
             if (handedOver && finishUntil == finishBy) {
                 List.copyOf(openRequests.all()).forEach(request -> {
                     context.count("answers.over_the_limit");
-                    openRequests.failAndReport(request, Outcome.CANCELLED);
+                    openRequests.failAndReport(request, Outcome.CANCELLED, CloseReason.HANDOVER_LIMIT);
                 });
             }
         });
--- a/src/main/java/yewdock/core/ReducerContext.java
+++ b/src/main/java/yewdock/core/ReducerContext.java
@@ -78,6 +78,16 @@
         effects.add(new Effect.Log(line));
     }
 
+    void report(RequestTransition transition) {
+        effects.add(new Effect.ReportTransition(transition));
+    }
+
+    /** Counts and reports that a request was closed without a complete response. */
+    void reportClosed(String requestId, CloseReason reason, boolean streaming, long elapsedMicros) {
+        count(reason.counterName());
+        report(new RequestTransition.Closed(requestId, reason, streaming, elapsedMicros));
+    }
+
     void count(String name) {
         counters.add(name);
     }
--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -72,7 +72,7 @@
         Attempt attempt = connection.attempt;
         if (attempt != null && attempt.isWinner() && !attempt.request.ended) {
             // the client's connection closes now; closing the server connection may take longer
-            openRequests.fail(attempt.request, Outcome.ERROR);
+            openRequests.fail(attempt.request, Outcome.ERROR, CloseReason.RESPONSE_MALFORMED);
         } else if (attempt != null && attempt.written) {
             attempts.close(attempt, Outcome.ERROR);
         }
@@ -129,8 +129,10 @@
         long end = attempt.connection.readingPaused ? request.lastWriteAt + SLOW_CLIENT_TIMEOUT_MICROS
                 : attempt.lastDataAt + SILENCE_TIMEOUT_MICROS;
         if (context.now() >= end) {
-            context.count(attempt.connection.readingPaused ? "streams.unread" : "streams.silent");
-            openRequests.fail(request, Outcome.RESET);
+            boolean clientStopped = attempt.connection.readingPaused;
+            context.count(clientStopped ? "streams.unread" : "streams.silent");
+            openRequests.fail(request, Outcome.RESET,
+                    clientStopped ? CloseReason.CLIENT_NOT_READING : CloseReason.SERVER_SILENT);
         } else {
             context.runAt(attempt.connection.readingPaused
                     ? Math.min(end, context.now() + SILENCE_TIMEOUT_MICROS) : end,
@@ -151,7 +153,7 @@
         if (outcome == Outcome.OK && !request.ended && (attempt.isWinner() || !request.isStreaming())) {
             openRequests.complete(attempt);
         } else if (attempt.isWinner()) {
-            openRequests.abortIfStreaming(attempt);
+            openRequests.abortIfStreaming(attempt, CloseReason.RESPONSE_MALFORMED);
             outcome = Outcome.RESET;
         }
         attempts.end(attempt, outcome, event.cachedTokens(), event.loadReport());
@@ -172,7 +174,7 @@
             attempts.end(attempt, attempt.closingOutcome, 0, null);
             return;
         }
-        openRequests.abortIfStreaming(attempt);
+        openRequests.abortIfStreaming(attempt, CloseReason.CONNECTION_BROKEN);
         attempts.end(attempt, attempt.written || attempt.isWinner() ? Outcome.RESET : Outcome.CONNECT_FAILED,
                 0, null);
     }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -204,6 +204,7 @@
                 config.settings().contract().drainGrace());
         connectionManager = new ConnectionManager(config, reducer, counters, transport, transport.clock(),
                 this::log);
+        connectionManager.reportTransitionsTo(new RequestTransitionLog(transport.clock())::write);
         connectionManager.forwardGenerationEffectsTo(this::sendToOthers);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> transport.shutDownGracefully(), "leave"));
         if (stateIsStored) {
--- a/src/main/java/yewdock/daemon/StandaloneRouter.java
+++ b/src/main/java/yewdock/daemon/StandaloneRouter.java
@@ -60,6 +60,7 @@
                 config.settings().contract().drainGrace());
         ConnectionManager connectionManager = new ConnectionManager(config, reducer, counters, transport,
                 transport.clock(), log);
+        connectionManager.reportTransitionsTo(new RequestTransitionLog(transport.clock())::write);
         // The JVM exits when its shutdown hooks have finished; this one waits for all open requests.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             transport.shutDownGracefully();
--- a/src/main/java/yewdock/platform/ConnectionManager.java
+++ b/src/main/java/yewdock/platform/ConnectionManager.java
@@ -13,6 +13,7 @@
 import yewdock.core.EndpointList;
 import yewdock.core.Event;
 import yewdock.core.Reducer;
+import yewdock.core.RequestTransition;
 
 /**
  * Holds all connections, translates what happens on them into events for the reducer and performs the
@@ -31,6 +32,8 @@
     private final Consumer<String> log;
     /** Receives the effects that concern other generations; does nothing unless set. */
     private Consumer<Effect> generationEffects = effect -> { };
+    /** Receives the steps in the lives of requests; does nothing unless set. */
+    private Consumer<RequestTransition> transitions = transition -> { };
     /** Receives the answers to operators' calls. */
     private Consumer<Effect> operatorAnswers = effect -> { };
     private final Map<Long, ClientConnectionHandler> clientConnections = new LinkedHashMap<>();
@@ -85,6 +88,11 @@
         operatorAnswers = receiver;
     }
 
+    /** Sets the receiver of the steps in the lives of requests. */
+    public void reportTransitionsTo(Consumer<RequestTransition> receiver) {
+        transitions = receiver;
+    }
+
     /** Applies what can be changed at run time of a new configuration and logs what needs a restart. */
     public void reconfigure(Config next) {
         List<String> needRestart = config.changesNeedingRestart(next);
@@ -196,6 +204,8 @@
         } else if (effect instanceof Effect.SendToGenerations || effect instanceof Effect.SendGenerationState
                 || effect instanceof Effect.PublishOverride) {
             generationEffects.accept(effect);
+        } else if (effect instanceof Effect.ReportTransition e) {
+            transitions.accept(e.transition());
         } else if (effect instanceof Effect.Log e) {
             log.accept(e.message());
         } else if (effect instanceof Effect.Stop) {
--- a/src/test/java/yewdock/ResourceLimitsTest.java
+++ b/src/test/java/yewdock/ResourceLimitsTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import yewdock.core.CloseReason;
 import yewdock.core.CoreSettings;
 import yewdock.core.Counters;
 import yewdock.core.Effect;
@@ -15,6 +16,7 @@
 import yewdock.core.Event;
 import yewdock.core.ModelRequest;
 import yewdock.core.Reducer;
+import yewdock.core.RequestTransition;
 import yewdock.core.ResourceLimits;
 
 /** The router refuses requests before it runs out of memory or file descriptors. */
@@ -31,6 +33,11 @@
         return reducer.reduce(new Event.RequestReceived(client, request), 1_000);
     }
 
+    private static List<Effect> refusedAtLimit(long client) {
+        return List.of(new Effect.ReportTransition(new RequestTransition.Closed("r" + client,
+                CloseReason.REFUSED_AT_LIMIT, false, 0)), new Effect.Refuse(client, 0));
+    }
+
     /** The requests are for 2 tokens, so the module leaves them all open. */
     @Test
     void refusesAtMemoryLimitAndAcceptsAgainBelowIt() {
@@ -38,7 +45,7 @@
         for (int client = 1; client <= 16; client++) {
             assertEquals(List.of(), sendRequest(client, MEGABYTE));
         }
-        assertEquals(List.of(new Effect.Refuse(17, 0)), sendRequest(17, 1));
+        assertEquals(refusedAtLimit(17), sendRequest(17, 1));
         reducer.reduce(new Event.ClientDisconnected(3), 2_000);
         assertEquals(List.of(), sendRequest(18, MEGABYTE));
     }
@@ -47,7 +54,7 @@
     void refusesAtRequestLimit() {
         reducer.reduce(new Event.Started(EndpointList.UNKNOWN, "127.0.0.1:8500"), 0);
         IntStream.rangeClosed(1, 500).forEach(client -> assertEquals(List.of(), sendRequest(client, 1)));
-        assertEquals(List.of(new Effect.Refuse(501, 0)), sendRequest(501, 1));
+        assertEquals(refusedAtLimit(501), sendRequest(501, 1));
         assertEquals(1, counters.get("answers.refused_for_room"));
     }
 
