--- a/src/test/java/yewdock/faults/RecordingServer.java
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -19,7 +19,7 @@
 final class RecordingServer implements Closeable {
     private static final int BACKLOG = 256;
     private static final byte[] RESPONSE = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n")
+            + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII);
 
     /**
@@ -41,6 +41,14 @@
         }
     }
 
+    /**
+     * Bytes to respond with.
+     *
+     * @param thenClose whether the server closes the connection behind them
+     */
+    record ScriptedResponse(byte[] bytes, boolean thenClose) {
+    }
+
     private static final byte[] UNPROCESSED_RESPONSE =
             ("HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\n"
             + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
@@ -51,6 +59,8 @@
 
     private final String name;
     private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWERS;
+    /** Sent instead of the behaviour's response, unless null. */
+    private volatile ScriptedResponse scriptedResponse;
     private final Consumer<Attempt> attemptListener;
     private final ServerSocket listener;
     private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
@@ -107,6 +117,11 @@
     /** Responds to one request as the current behaviour says; returns false to close the connection. */
     private boolean respond(Socket socket) throws IOException, InterruptedException {
         OutputStream out = socket.getOutputStream();
+        ScriptedResponse scripted = scriptedResponse;
+        if (scripted != null) {
+            out.write(scripted.bytes());
+            return !scripted.thenClose();
+        }
         switch (behaviour) {
             case ANSWERS -> out.write(RESPONSE);
             case ANSWERS_TWICE -> {
@@ -139,6 +154,11 @@
         behaviour = newBehaviour;
     }
 
+    /** Sets the bytes that the server responds with to all requests from now on. */
+    void respondWith(ScriptedResponse response) {
+        scriptedResponse = response;
+    }
+
     private static void startThread(Runnable work) {
         Thread thread = new Thread(work, "server");
         thread.setDaemon(true);
