A stream is complete only with its [DONE]: one ended early is cut off, or retried

Cause: ServerConnectionHandler.responseComplete took every 200 whose body had ended in good order as OK. Where a server, or a proxy before it, ends the body early (last chunk, or a length that covers a part), the router passed that end on as the stream's. Class of bug: the end of the transport's message was taken for the end of the content. Change: platform.ResponseStream follows the stream's events; OK needs a whole [DONE] event. Otherwise the attempt ends with ERROR, its connection is not used again, a client with a part of the stream is cut off without the last chunk, and one with nothing is retried. Why it works: the last chunk has one source, EndResponse, which has one, Outcome.OK.

--- a/src/main/java/yewdock/core/CloseReason.java
+++ b/src/main/java/yewdock/core/CloseReason.java
@@ -20,6 +20,8 @@
     DEADLINE,
     /** The server's connection closed before the end of the stream. */
     CONNECTION_BROKEN,
+    /** The server ended its response before the stream's last event. */
+    STREAM_INCOMPLETE,
     /** The server's response could not be parsed. */
     RESPONSE_MALFORMED,
     /** The server stopped sending in the middle of the stream. */
--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -149,14 +149,12 @@
         }
         connections.release(connection, event.reusable());
         OpenRequest request = attempt.request;
-        Outcome outcome = event.outcome();
-        if (outcome == Outcome.OK && !request.ended && (attempt.isWinner() || !request.isStreaming())) {
+        if (event.outcome() == Outcome.OK && !request.ended && (attempt.isWinner() || !request.isStreaming())) {
             openRequests.complete(attempt);
         } else if (attempt.isWinner()) {
-            openRequests.abortIfStreaming(attempt, CloseReason.RESPONSE_MALFORMED);
-            outcome = Outcome.RESET;
+            openRequests.abortIfStreaming(attempt, CloseReason.STREAM_INCOMPLETE);
         }
-        attempts.end(attempt, outcome, event.cachedTokens(), event.loadReport());
+        attempts.end(attempt, event.outcome(), event.cachedTokens(), event.loadReport());
     }
 
     /**
--- a/src/main/java/yewdock/daemon/JvmWarmUp.java
+++ b/src/main/java/yewdock/daemon/JvmWarmUp.java
@@ -33,6 +33,7 @@
     private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final List<String> EVENTS = List.of("data: {\"choices\":[{\"index\":0}]}\n\n",
             "data: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":1}}}\n\n",
+            "data: [DONE]\n\n",
             ": X-Backend-Load: inflight=1,qps=0,eps=0,x1=0\n\n");
 
     private final Queue<Runnable> tasks = new ArrayDeque<>();
--- a/src/main/java/yewdock/platform/ServerConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ServerConnectionHandler.java
@@ -5,13 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
-import org.json.JSONException;
-import org.json.JSONObject;
-import umberspread.Routing.LoadReport;
 import umberspread.Routing.Outcome;
 import yewdock.core.Event;
 import yewdock.http.BadMessageException;
-import yewdock.http.EventStreamLineReader;
 import yewdock.http.MessageHead;
 import yewdock.http.MessageReader;
 
@@ -28,16 +24,14 @@
     private final long connectionId;
     private final Connection connection;
     private final MessageReader reader = new MessageReader(MessageReader.Kind.RESPONSE, this);
-    /** Splits the current response; null between responses. */
-    private EventStreamLineReader events;
+    /** The stream of the current response; null before its head has been read. */
+    private ResponseStream stream;
     /**
      * What has been received of a stream whose first event is not complete. If the server connection breaks
      * after a client has got a part of that event, the client can only be disconnected; as long as it has
      * got nothing, the request can be retried on another server.
      */
     private ByteArrayOutputStream pendingStart = new ByteArrayOutputStream();
-    private boolean dataLineSeen;
-    private boolean firstEventComplete;
     private boolean attemptOpen;
     /** Whether the response's body has started; for a stream, whether its first event has been passed on. */
     private boolean bodyStarted;
@@ -46,8 +40,6 @@
     private int unwrittenBytes;
     /** What is kept of the current response's head; null before it. */
     private ResponseHead head;
-    private LoadReport loadReport;
-    private long cachedTokens;
     private boolean closing;
 
     /** The part of a response's head that counts after it: the whole head may be large. */
@@ -87,13 +79,9 @@
         message.put(headBytes).put(request.body()).flip();
         attemptOpen = true;
         bodyStarted = false;
-        firstEventComplete = false;
-        dataLineSeen = false;
         pendingStart = new ByteArrayOutputStream();
-        events = new EventStreamLineReader(this::onEventLine, this::onEventEnd);
+        stream = null;
         head = null;
-        loadReport = null;
-        cachedTokens = 0;
         unwrittenBytes = message.remaining();
         connection.write(message);
     }
@@ -147,7 +135,7 @@
     @Override
     public void head(MessageHead read) {
         head = ResponseHead.of(read);
-        loadReport = LoadReports.of(read.field(LoadReports.HEADER));
+        stream = new ResponseStream(manager.counters(), LoadReports.of(read.field(LoadReports.HEADER)));
     }
 
     @Override
@@ -157,7 +145,7 @@
             return;
         }
         boolean first = !bodyStarted;
-        events.read(piece);
+        stream.read(piece);
         if (!first) {
             manager.dispatch(new Event.ResponseChunk(connectionId, piece));
             return;
@@ -165,7 +153,7 @@
         byte[] bytes = new byte[piece.remaining()];
         piece.get(bytes);
         pendingStart.writeBytes(bytes);
-        if (firstEventComplete || pendingStart.size() > MAX_PENDING_START_BYTES) {
+        if (stream.firstEventComplete() || pendingStart.size() > MAX_PENDING_START_BYTES) {
             flushPendingStart();
         }
     }
@@ -183,42 +171,24 @@
     }
 
     private void responseComplete(boolean nothingBehind) {
-        if (pendingStart.size() > 0) {
-            flushPendingStart();
-        }
         attemptOpen = false;
         respondedBefore = true;
         Outcome outcome = switch (head.status()) {
-            case 200 -> Outcome.OK;
+            case 200 -> stream.isComplete() ? Outcome.OK : Outcome.ERROR;
             case 503, 504 -> head.unprocessed() ? Outcome.FULL : Outcome.ERROR;
             default -> Outcome.ERROR;
         };
-        boolean reusable = nothingBehind && unwrittenBytes == 0 && head.keepsAlive();
-        head = null;
-        events = null;
-        manager.dispatch(new Event.ResponseCompleted(connectionId, outcome, reusable, cachedTokens,
-                loadReport));
-    }
-
-    /** A stream's last lines carry the load report, in a comment, and how many prompt tokens were cached. */
-    private void onEventLine(String text) {
-        dataLineSeen |= text.startsWith("data");
-        if (text.startsWith(":")) {
-            LoadReport read = LoadReports.inComment(text);
-            loadReport = read == null ? loadReport : read;
-        } else if (text.startsWith("data:") && text.contains("\"usage\"")) {
-            try {
-                JSONObject usage = new JSONObject(text.substring(5)).optJSONObject("usage");
-                JSONObject details = usage == null ? null : usage.optJSONObject("prompt_tokens_details");
-                cachedTokens = details == null ? cachedTokens : Math.max(0, details.optLong("cached_tokens"));
-            } catch (JSONException e) {
-                manager.counters().add("boxes.malformed_usage");
-            }
+        boolean incompleteStream = head.status() == 200 && outcome == Outcome.ERROR;
+        if (incompleteStream) {
+            manager.counters().add("streams.incomplete");
         }
-    }
-
-    private void onEventEnd() {
-        firstEventComplete |= dataLineSeen;
+        boolean reusable = nothingBehind && unwrittenBytes == 0 && head.keepsAlive() && !incompleteStream;
+        ResponseStream completed = stream;
+        head = null;
+        stream = null;
+        pendingStart = new ByteArrayOutputStream(0);
+        manager.dispatch(new Event.ResponseCompleted(connectionId, outcome, reusable,
+                completed.cachedTokens(), completed.loadReport()));
     }
 
     void setReadingPaused(boolean paused) {
