--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -154,7 +154,8 @@
         } else if (attempt.isWinner()) {
             openRequests.abortIfStreaming(attempt, CloseReason.STREAM_INCOMPLETE);
         }
-        attempts.end(attempt, event.outcome(), event.cachedTokens(), event.loadReport());
+        attempts.end(attempt, event.outcome(),
+                event.cachedTokens(), event.loadReport());
     }
 
     /**
--- a/src/test/java/yewdock/ServeTest.java
+++ b/src/test/java/yewdock/ServeTest.java
@@ -25,6 +25,8 @@
 /** The router program in a separate process, over local sockets. */
 @Timeout(60)
 class ServeTest {
+    /** A complete stream, in chunks. */
+    private static final String STREAM = "9\r\ndata: 1\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
     private static final int DESCRIPTOR_LIMIT = 160;
     private static final String BODY = "{\"model\":\"chat\"}";
 
@@ -86,13 +88,12 @@
                     }
                     serverConnection.getOutputStream().write((
                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                            + "9\r\ndata: 1\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                            + STREAM).getBytes(StandardCharsets.US_ASCII));
                     String answer = new String(client.getInputStream().readAllBytes(),
                             StandardCharsets.US_ASCII);
                     assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n"), answer);
                     assertTrue(answer.contains("\r\nConnection: close\r\n"), answer);
-                    assertTrue(answer.endsWith("\r\n\r\n9\r\ndata: 1\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"),
-                            answer);
+                    assertTrue(answer.endsWith("\r\n\r\n" + STREAM), answer);
                 }
             }
             String rest = log.lines().reduce("", (a, b) -> a + b + "\n");
--- a/src/test/java/yewdock/faults/IncompleteStreamTest.java
+++ b/src/test/java/yewdock/faults/IncompleteStreamTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -142,7 +141,7 @@
         }
     }
 
-    /** Requests of which the clients have nothing yet are retried at another server, within the retry budget. */
+    /** Requests whose clients have nothing yet are retried at another server, within the budget. */
     @Test
     void requestsWithoutACompleteFirstEventAreRetriedAtAnotherServer() throws Exception {
         try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 1, 2)) {
--- a/src/test/java/yewdock/faults/RouterProcess.java
+++ b/src/test/java/yewdock/faults/RouterProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,12 +23,30 @@
     private final List<String> log = new ArrayList<>();
     private final CompletableFuture<Integer> port = new CompletableFuture<>();
 
+    private static final List<String> SMALL_HEAP_FLAGS =
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m");
+
+    /** Starts a router with a small heap. */
     RouterProcess(Path folder, String configurationText) throws IOException {
+        this(folder, configurationText, SMALL_HEAP_FLAGS, folder);
+    }
+
+    /**
+     * Starts a router.
+     *
+     * @param folder where its configuration file goes
+     * @param jvmFlags flags of the JVM
+     * @param sharedFolder the folder that it shares with processes that replace it
+     */
+    RouterProcess(Path folder, String configurationText, List<String> jvmFlags, Path sharedFolder)
+            throws IOException {
         configurationFile = Files.writeString(folder.resolve("config.json"), configurationText);
-        ProcessBuilder builder = new ProcessBuilder("env", "--default-signal=HUP,TERM",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx48m", "-cp", System.getProperty("java.class.path"),
-                "yewdock.Main", "serve");
+        List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,TERM",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(jvmFlags);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "yewdock.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("TMPDIR", sharedFolder.toString());
         builder.environment().put("PROXY_CONFIG", configurationFile.toString());
         process = builder.redirectErrorStream(true).start();
         Thread reader = new Thread(this::readLog, "log");
@@ -51,6 +70,28 @@
         port.completeExceptionally(new IOException("the router exited before it listened:\n" + log()));
     }
 
+    /** Returns the flags that size the JVM's memory in the deploy file. */
+    static List<String> deployedMemoryFlags() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        return Arrays.stream(run.split(" ")).filter(word -> word.startsWith("-X") && !word.startsWith("-Xlog")
+                && !word.startsWith("-Xshare") && !word.contains("SharedArchiveFile")
+                || word.startsWith("-Djdk")).toList();
+    }
+
+    /** Returns the peak of the process's resident memory in bytes. */
+    long peakMemoryBytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmHWM:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) << 10).findFirst()
+                .orElseThrow();
+    }
+
+    /** Whether the process has not ended. */
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Waits until the router listens and returns the port for clients. */
     int port() throws Exception {
         return port.get(START_TIMEOUT_SECONDS, TimeUnit.SECONDS);
