--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -149,7 +149,8 @@
         }
         connections.release(connection, event.reusable());
         OpenRequest request = attempt.request;
-        if (event.outcome() == Outcome.OK && !request.ended && (attempt.isWinner() || !request.isStreaming())) {
+        if (event.outcome() == Outcome.OK && !request.ended
+                && (attempt.isWinner() || !request.isStreaming())) {
             openRequests.complete(attempt);
         } else if (attempt.isWinner()) {
             openRequests.abortIfStreaming(attempt, CloseReason.STREAM_INCOMPLETE);
--- a/src/test/java/yewdock/faults/ClientTraffic.java
+++ b/src/test/java/yewdock/faults/ClientTraffic.java
@@ -99,7 +99,8 @@
         return status;
     }
 
-    private static String readLine(InputStream in) throws IOException {
+    /** Reads a line, without its end; throws EOFException if the connection ends before that. */
+    static String readLine(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int c = in.read(); c != '\n'; c = in.read()) {
             if (c < 0) {
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -20,7 +20,6 @@
     /** Lower than any version of {@link ScriptedDiscovery}'s first run. */
     private static final long INITIAL_LIST_VERSION = 1;
     private static final int FIRST_SERVER_NUMBER = 0xa0;
-    private static final Path CONFIGURATION_TEMPLATE = Path.of("src/test/resources/exchanges/config.json");
 
     private final DrainRuleChecker checker;
     private final Queue<RecordingServer.Attempt> attempts = new ConcurrentLinkedQueue<>();
@@ -104,15 +103,10 @@
      * @param cachedVersion the version of the cached endpoint list
      */
     String configuration(String discovery, long cachedVersion) throws IOException {
-        String template = Files.readString(CONFIGURATION_TEMPLATE);
-        String cachedServers = servers.stream().map(server -> "{\"id\":\"" + server.name() + "\",\"addr\":\""
-                + server.address() + "\",\"zone\":\"kathmandu\",\"kind\":\"big-gpu\",\"cell\":1,"
-                + "\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}").collect(Collectors.joining(","));
-        int start = template.indexOf("\"known\"");
-        int end = template.indexOf("\"settings\"");
-        return editConfiguration.apply(template.substring(0, start) + "\"known\":{\"version\":"
-                + cachedVersion + ",\"full\":true,\"servers\":[" + cachedServers + "]},\n "
-                + template.substring(end))
+        String cachedServers = servers.stream()
+                .map(server -> RouterConfigurations.serverEntry(server.name(), server.address()))
+                .collect(Collectors.joining(","));
+        return editConfiguration.apply(RouterConfigurations.withServers(cachedServers, cachedVersion))
                 .replace("127.0.0.1:8000", "127.0.0.1:0").replace("127.0.0.1:8500", discovery)
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + discoveryMode + "\"")
                 .replace("\"drain_grace\":1.0", "\"drain_grace\":" + graceSeconds);
