Requests that come over 0.6 s after SIGTERM are refused: SIGKILL found them under way

Cause: Reducer.requestReceived admitted requests for as long as the process lived, with their whole time. SIGKILL may come 3.7 s after SIGTERM, and a request that came over 0.7 s after SIGTERM is lost if it finds it unanswered. Class of bug: work taken on without a look at the time that the process has left. Change: core.Shutdown holds the stages of a shutdown, out of the reducer; requests over 0.6 s after its start are refused (0.7 s less the 0.1 s for which a process may be held up). The exchange leaving-half-read had such a request served at 0.89 s, against the terms: its request is whole at 0.58 s now, and leaving-too-late has the one at 0.89 s, which still keeps the process from ending and gets its answer.

--- a/src/main/java/yewdock/core/CloseReason.java
+++ b/src/main/java/yewdock/core/CloseReason.java
@@ -12,6 +12,8 @@
     REFUSED_WITHOUT_LEASE,
     /** The process that owns the request ids did not answer the claim for this id. */
     REFUSED_UNCLAIMED,
+    /** The request came so late in a shutdown that the process may be killed before its response ends. */
+    REFUSED_AT_SHUTDOWN,
     /** Another request with the same id was open. */
     DUPLICATE_ID,
     /** The module gave the request up. */
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -19,13 +19,6 @@
  * client connections and {@link OtherGenerations} the state shared with other generations.
  */
 public final class Reducer {
-    /**
-     * On shutdown, new connections may still arrive for 0.4 s and requests for 0.7 s. Idle client connections
-     * are closed after this delay in microseconds.
-     */
-    static final long CLOSE_IDLE_AFTER_MICROS = 500_000;
-    /** Earliest exit after the start of a shutdown, in microseconds. */
-    static final long MIN_SHUTDOWN_MICROS = 800_000;
     /**
      * Where a local agent holds the endpoint list, its contents bind the router from the start of the
      * process. The list that the process was started with may be outdated, so it is used only once the agent
@@ -43,22 +36,22 @@
     private final Attempts attempts;
     private final ResponseStreams responses;
     private final OperatorCommandHandler commands;
+    private final Shutdown shutdown;
     /** The module has not been given any server yet, because the agent has not answered. */
     private boolean awaitingAgent;
-    private boolean shuttingDown;
     private boolean handedOver;
     private OlderGeneration olderGeneration = OlderGeneration.NONE;
     /** Endpoint lists are sent on to the other processes, one of which stores them. */
     private boolean relaying;
     /** Time limit for open requests after another generation took over, in microseconds. */
     private long finishUntil;
-    private long exitAt;
     private boolean stopped;
 
     /** Creates the reducer and the module, which gets its actions. */
     public Reducer(CoreSettings settings, ResourceLimits limits, Counters counters,
             Function<Routing.Actions, Routing.Events> makeModule) {
         this.context = new ReducerContext(counters);
+        this.shutdown = new Shutdown(context);
         this.servers = new KnownServers(context::now, settings.maxColdMicros());
         this.clients = new ClientConnections(limits.maxClientConnections(), context::now, context.timers(),
                 counters, context::emit);
@@ -89,8 +82,7 @@
         for (ReducerContext.Step step = context.nextStep(); step != null; step = context.nextStep()) {
             run(step);
         }
-        if (shuttingDown && !stopped && openRequests.isEmpty() && !otherGenerations.hasClaims()
-                && context.now() >= exitAt) {
+        if (shutdown.mayExit() && !stopped && openRequests.isEmpty() && !otherGenerations.hasClaims()) {
             stopped = true;
             context.emit(new Effect.Stop());
         }
@@ -109,7 +101,7 @@
 
     /** Returns why a request that arrived now could not be served; empty if it could. */
     public String notReadyReason() {
-        if (shuttingDown && !handedOver) {
+        if (shutdown.isStarted() && !handedOver) {
             return "leaving";
         }
         if (commands.quiesced()) {
@@ -151,7 +143,7 @@
 
     /** Whether the router is shutting down. */
     public boolean isShuttingDown() {
-        return shuttingDown;
+        return shutdown.isStarted();
     }
 
     /** Whether another generation accepts new connections and this one only finishes its open requests. */
@@ -261,9 +253,9 @@
         } else if (event instanceof Event.EndpointListRelayEnabled) {
             relaying = true;
         } else if (event instanceof Event.OperatorCommandReceived e) {
-            commands.execute(e, shuttingDown);
+            commands.execute(e, shutdown.isStarted());
         } else if (event instanceof Event.ShutdownRequested) {
-            shutDown();
+            shutdown.start();
         }
     }
 
@@ -367,6 +359,9 @@
         } else if (context.inDoubt()) {
             context.count("answers.refused_in_doubt");
             refuseDirectly(event, context.retryAfterMicros(), CloseReason.REFUSED_WITHOUT_LEASE);
+        } else if (shutdown.refusesRequests()) {
+            context.count("answers.refused_leaving");
+            refuseDirectly(event, 0, CloseReason.REFUSED_AT_SHUTDOWN);
         } else if (otherGenerations.mustClaim()) {
             otherGenerations.claim(event);
         } else {
@@ -578,21 +573,4 @@
             }
         });
     }
-
-    // ---- shutdown
-
-    /**
-     * Starts the shutdown. The router still serves for a while: new connections arrive, and accepted requests
-     * must be answered.
-     */
-    private void shutDown() {
-        if (!shuttingDown) {
-            shuttingDown = true;
-            exitAt = context.now() + MIN_SHUTDOWN_MICROS;
-            context.log("leaving");
-            context.runAt(context.now() + CLOSE_IDLE_AFTER_MICROS, () ->
-                    context.emit(new Effect.CloseIdleClients()));
-            context.runAt(exitAt, () -> { });
-        }
-    }
 }
