An interrupted read or write of a socket is no end of the connection

Cause: for a non-blocking channel the JDK returns EINTR as -3 (IOStatus.normalize maps only -2 to 0). MINA, and CompleteReadProcessor with it, takes each negative number for the end of the stream. Class of bug: a system call's result that Linux documents and the code does not know. Change: CompleteReadProcessor maps all negative results but -1 to 0.

--- a/src/main/java/yewdock/sockets/CompleteReadProcessor.java
+++ b/src/main/java/yewdock/sockets/CompleteReadProcessor.java
@@ -34,6 +34,7 @@
      */
     private static final int RECEIVE_WINDOW_BYTES = 32 * 1024;
     private static final long WINDOW_UPDATE_NANOS = 500_000;
+    private static final int END_OF_STREAM = -1;
 
     private final Object roundLock = new Object();
     /** The number of rounds in which everything ready was read; guarded by roundLock. */
@@ -49,13 +50,16 @@
         this.isClient = isClient;
     }
 
-    /** Does not start a write that is too late: the connection fails with nothing written. */
+    /**
+     * Does not start a write that is too late: the connection fails with nothing written. A write that a
+     * signal interrupted, which the channel reports as a negative number, has written nothing.
+     */
     @Override
     protected int write(NioSession session, IoBuffer from, int length) throws IOException {
         if (from.position() == 0 && isExpired.test(session)) {
             throw new IOException("write was decided on too long ago");
         }
-        return super.write(session, from, length);
+        return Math.max(0, super.write(session, from, length));
     }
 
     @Override
@@ -94,10 +98,11 @@
     private int readUnlessReset(NioSession session, IoBuffer into) throws Exception {
         try {
             int read = super.read(session, into);
-            if (read < 0) {
+            if (read == END_OF_STREAM) {
                 session.setAttribute(ENDED);
             }
-            return read;
+            // other negative numbers mean that a signal interrupted the call: there may be more to read
+            return read < END_OF_STREAM ? 0 : read;
         } catch (IOException e) {
             if (into.position() == 0) {
                 throw e;
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.UnaryOperator;
@@ -31,6 +32,7 @@
     private final String discoveryMode;
     private final double graceSeconds;
     private final UnaryOperator<String> editConfiguration;
+    private final Map<String, String> environment;
 
     /**
      * Starts an installation with all servers up and traffic at each router.
@@ -47,6 +49,13 @@
     /** As above, with a change to the text of each router's configuration. */
     FaultRig(Path folder, boolean byAgent, long graceMillis, int routerCount, int serverCount,
             UnaryOperator<String> editConfiguration) throws Exception {
+        this(folder, byAgent, graceMillis, routerCount, serverCount, editConfiguration, Map.of());
+    }
+
+    /** As above, with further environment variables for the routers. */
+    FaultRig(Path folder, boolean byAgent, long graceMillis, int routerCount, int serverCount,
+            UnaryOperator<String> editConfiguration, Map<String, String> environment) throws Exception {
+        this.environment = environment;
         this.folder = folder;
         this.editConfiguration = editConfiguration;
         this.discoveryMode = byAgent ? "push" : "ask";
@@ -93,7 +102,8 @@
     private RouterProcess startRouter(int router, long cachedVersion) throws IOException {
         Path routerFolder = Files.createDirectories(folder.resolve("router-" + router));
         return new RouterProcess(routerFolder,
-                configuration(discoveries.get(router).address(), cachedVersion));
+                configuration(discoveries.get(router).address(), cachedVersion),
+                RouterProcess.SMALL_HEAP_FLAGS, environment);
     }
 
     /**
--- a/src/test/java/yewdock/faults/RequestSequences.java
+++ b/src/test/java/yewdock/faults/RequestSequences.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Clients that each send one request after the other, each on a new connection, and wait for its final
@@ -32,6 +33,7 @@
     private final long pauseMillis;
     private final Queue<String> failures = new ConcurrentLinkedQueue<>();
     /** How many responses had each status. */
+    private final AtomicLong slowestNanos = new AtomicLong();
     private final Map<Integer, Integer> statusCounts = new ConcurrentSkipListMap<>();
 
     RequestSequences(int clientCount, int requestsPerClient) {
@@ -69,6 +71,7 @@
                 socket.getOutputStream().write(ClientTraffic.request(id, CLIENT_TIMEOUT_SECONDS));
                 int status = readStatus(socket);
                 double tookSeconds = (System.nanoTime() - startNanos) / 1e9;
+                slowestNanos.accumulateAndGet(System.nanoTime() - startNanos, Math::max);
                 statusCounts.merge(status, 1, Integer::sum);
                 if (status != SUCCESS && tookSeconds > MAX_RESPONSE_SECONDS) {
                     failures.add(id + " got " + status + " after " + tookSeconds + " s");
@@ -107,6 +110,11 @@
         return all.toByteArray();
     }
 
+    /** Checks that no response took longer than this. */
+    void assertSlowestBelow(double seconds) {
+        assertTrue(slowestNanos.get() < seconds * 1e9, "the slowest took " + slowestNanos.get() / 1e9 + " s");
+    }
+
     void assertAllGotResponses(FaultRig rig) {
         assertEquals(List.of(), failures.stream().limit(5).toList(), failures.size() + " requests failed\n"
                 + rig.logs());
--- a/src/test/java/yewdock/faults/RouterProcess.java
+++ b/src/test/java/yewdock/faults/RouterProcess.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import yewdock.verification.ProcessSignals;
@@ -23,12 +24,13 @@
     private final List<String> log = new ArrayList<>();
     private final CompletableFuture<Integer> port = new CompletableFuture<>();
 
-    private static final List<String> SMALL_HEAP_FLAGS =
+    /** Flags for a small heap. */
+    static final List<String> SMALL_HEAP_FLAGS =
             List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m");
 
     /** Starts a router with a small heap. */
     RouterProcess(Path folder, String configurationText) throws IOException {
-        this(folder, configurationText, SMALL_HEAP_FLAGS, folder);
+        this(folder, configurationText, SMALL_HEAP_FLAGS, Map.of());
     }
 
     /**
@@ -36,17 +38,18 @@
      *
      * @param folder where its configuration file goes
      * @param jvmFlags flags of the JVM
-     * @param sharedFolder the folder that it shares with processes that replace it
+     * @param environment further environment variables; TMPDIR is the folder unless it is among them
      */
-    RouterProcess(Path folder, String configurationText, List<String> jvmFlags, Path sharedFolder)
-            throws IOException {
+    RouterProcess(Path folder, String configurationText, List<String> jvmFlags,
+            Map<String, String> environment) throws IOException {
         configurationFile = Files.writeString(folder.resolve("config.json"), configurationText);
         List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,TERM",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(jvmFlags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "yewdock.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().put("TMPDIR", sharedFolder.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().putAll(environment);
         builder.environment().put("PROXY_CONFIG", configurationFile.toString());
         process = builder.redirectErrorStream(true).start();
         Thread reader = new Thread(this::readLog, "log");
--- a/src/test/java/yewdock/faults/SoakRun.java
+++ b/src/test/java/yewdock/faults/SoakRun.java
@@ -66,7 +66,7 @@
         }
         try (ScriptedDiscovery discovery = discoveryListing(servers);
                 RouterProcess router = new RouterProcess(folder, configuration(servers, discovery),
-                        RouterProcess.deployedMemoryFlags(), folder)) {
+                        RouterProcess.deployedMemoryFlags(), Map.of())) {
             List<SoakClient> clients = startClients(router.port());
             if (seed % SEEDS_PER_CROWD == 0) {
                 gatherCrowd(router.port());
