A failed accept no longer stops accepting for a second

Cause: MINA's acceptor sleeps 1 s after each exception. While the queue of a closing listener was emptied, a failure would have dropped it. Class of bug: a passing failure of the system ends or stops a loop that others depend on. Change: BoundedAcceptor.accept handles the failure itself: a pause of 5 ms, one log line a second, and retries while a queue is emptied.

--- a/src/main/java/yewdock/sockets/BoundedAcceptor.java
+++ b/src/main/java/yewdock/sockets/BoundedAcceptor.java
@@ -7,13 +7,20 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.tinylog.Logger;
 
 /** Accepts connections up to a limit; more of them wait in the kernel's accept queue. */
 final class BoundedAcceptor extends NioSocketAcceptor {
     private static final int BACKLOG = 512;
+    /** Pause after a failed accept; the connection stays in the queue, and descriptors may be freed. */
+    private static final long RETRY_MILLIS = 5;
+    /** How often accepting may fail while the queue of a listener that closes is emptied. */
+    private static final int MAX_FAILURES_AT_CLOSE = 100;
+    private static final long LOG_INTERVAL_NANOS = 1_000_000_000;
 
     private final IoProcessor<NioSession> processor;
     private final ConnectionLimit limit;
@@ -23,6 +30,10 @@
     // set in init(), which the superclass's constructor calls: an initializer here would overwrite it
     private CapturingSelectorProvider selectorProvider;
     private volatile ServerSocketChannel externalListener;
+    private volatile boolean lastAcceptFailed;
+    /** Failed accepts since the last line about them, and when that was written. */
+    private int failures;
+    private long failureLoggedNanos = System.nanoTime() - LOG_INTERVAL_NANOS;
 
     BoundedAcceptor(Executor executor, IoProcessor<NioSession> processor, ConnectionLimit limit,
             LingeringClose lingering) {
@@ -100,14 +111,22 @@
     /** Accepts what is in the queue: for the clients, it is connected already and closing would reset it. */
     private void acceptPending(ServerSocketChannel listener) throws Exception {
         selectorProvider.lastOpened().selectNow();
-        for (NioSession session = accept(processor, listener); session != null;
-                session = accept(processor, listener)) {
-            initSession(session, null, null);
-            session.getProcessor().add(session);
+        int failuresAtClose = 0;
+        NioSession session = accept(processor, listener);
+        while (session != null || lastAcceptFailed && ++failuresAtClose < MAX_FAILURES_AT_CLOSE) {
+            if (session != null) {
+                initSession(session, null, null);
+                session.getProcessor().add(session);
+            }
             selectorProvider.lastOpened().selectNow();
+            session = accept(processor, listener);
         }
     }
 
+    /**
+     * Accepts one connection; null if there is none or accepting failed. MINA's own handling of a failure
+     * would stop accepting for a second.
+     */
     @Override
     protected NioSession accept(IoProcessor<NioSession> sessionProcessor, ServerSocketChannel listener)
             throws Exception {
@@ -116,9 +135,14 @@
             limit.acquire();
         }
         NioSession session = null;
+        lastAcceptFailed = false;
         try {
             // null if another process has accepted the connection first
             session = super.accept(sessionProcessor, listener);
+        } catch (IOException e) {
+            lastAcceptFailed = true;
+            logFailure(e);
+            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
         } finally {
             if (session == null) {
                 limit.release();
@@ -126,4 +150,14 @@
         }
         return session;
     }
+
+    private void logFailure(IOException failure) {
+        long nowNanos = System.nanoTime();
+        failures++;
+        if (nowNanos - failureLoggedNanos >= LOG_INTERVAL_NANOS) {
+            Logger.warn("accepting failed {} times: {}", failures, failure.getMessage());
+            failures = 0;
+            failureLoggedNanos = nowNanos;
+        }
+    }
 }
