--- a/src/main/java/yewdock/daemon/PeerConnections.java
+++ b/src/main/java/yewdock/daemon/PeerConnections.java
@@ -64,7 +64,7 @@
             listener.close();
             throw new IOException("copies.listen: " + settings.listen() + ": " + e.getMessage(), e);
         }
-        startThread("peers", this::accept);
+        startThread("peers", new AcceptLoop(listener::accept, "peers.broken", this::accepted));
         settings.peers().forEach((name, address) -> {
             if (settings.instance().compareTo(name) < 0) {
                 startThread("call " + name, () -> keepConnected(name, Addresses.parse(address)));
@@ -107,21 +107,15 @@
         }
     }
 
-    private void accept() {
-        while (!closed) {
-            try {
-                SocketChannel channel = listener.accept();
-                if (unidentified.tryAcquire()) {
-                    startThread("stranger", () -> identify(channel));
-                } else {
-                    channel.close();
-                }
-            } catch (IOException e) {
-                if (!closed) {
-                    EventLog.warn("peers.broken", "why", e.getMessage());
-                    return;
-                }
-            }
+    private void accepted(SocketChannel channel) {
+        if (unidentified.tryAcquire()) {
+            startThread("stranger", () -> identify(channel));
+            return;
+        }
+        try {
+            channel.close();
+        } catch (IOException e) {
+            EventLog.warn("peers.broken", "why", e.getMessage());
         }
     }
 
--- a/src/main/java/yewdock/daemon/ProcessHandover.java
+++ b/src/main/java/yewdock/daemon/ProcessHandover.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -313,18 +312,10 @@
             return;
         }
         ServerSocketChannel listener = successorListener;
-        Thread acceptor = new Thread(() -> {
-            try {
-                while (true) {
-                    ControlConnection connection = new ControlConnection(listener.accept());
-                    runOnReducerThread(() -> successorConnected(connection));
-                }
-            } catch (ClosedChannelException e) {
-                // the listener was closed
-            } catch (IOException e) {
-                EventLog.warn("succession.no_socket", "why", e.getMessage());
-            }
-        }, "succession");
+        Thread acceptor = new Thread(new AcceptLoop(listener::accept, "succession.no_socket", channel -> {
+            ControlConnection connection = new ControlConnection(channel);
+            runOnReducerThread(() -> successorConnected(connection));
+        }), "succession");
         acceptor.setDaemon(true);
         acceptor.start();
     }
--- a/src/main/java/yewdock/daemon/Supervisor.java
+++ b/src/main/java/yewdock/daemon/Supervisor.java
@@ -100,7 +100,8 @@
         listener = InheritedListener.asStandardInput(Addresses.parse(config.listenAddress()));
         EventLog.info("keeper.listens", "address", listener.getLocalAddress(), "control",
                 ControlConnection.socketIn(settings.daemon().controlFolder()));
-        Thread accepting = new Thread(this::acceptControl, "control");
+        Thread accepting = new Thread(new AcceptLoop(controlListener::accept, "control.broken",
+                channel -> new ControlClient(channel).start()), "control");
         accepting.setDaemon(true);
         accepting.start();
         ConfigurationFile configurationFile = ConfigurationFile.at(settings.daemon().configFile());
@@ -206,18 +207,6 @@
         Files.setPosixFilePermissions(socket, PosixFilePermissions.fromString("rw-------"));
     }
 
-    private void acceptControl() {
-        while (controlListener.isOpen()) {
-            try {
-                new ControlClient(controlListener.accept()).start();
-            } catch (IOException e) {
-                if (controlListener.isOpen()) {
-                    EventLog.warn("control.broken", "why", e.getMessage());
-                }
-            }
-        }
-    }
-
     /**
      * A connection of the control socket; the first frame tells whether a generation or operator opened it.
      */
