Overrides are written again until the disk takes them, synced, and leave no part of a file

Cause: ProcessHandover.storeOverrides logged the failure and never tried again; the file was not synced before its rename, and a part of it kept the space it had taken. Class of bug: what was taken on is dropped at a passing failure. Change: a failed write is tried again every 200 ms with the overrides of then; the file is synced; the temporary file is removed.

--- a/src/main/java/yewdock/daemon/OperatorOverridesFile.java
+++ b/src/main/java/yewdock/daemon/OperatorOverridesFile.java
@@ -1,9 +1,13 @@
 package yewdock.daemon;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
@@ -26,8 +30,24 @@
     /** Replaces the file's content by these overrides, by server name. */
     void write(Map<String, OperatorOverride> overrides) throws IOException {
         Path temporary = file.resolveSibling(file.getFileName() + "." + ProcessHandle.current().pid());
-        Files.writeString(temporary, format(overrides));
-        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try {
+            writeAndSync(temporary, format(overrides));
+            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } finally {
+            // frees the space of a file that could not be written whole
+            Files.deleteIfExists(temporary);
+        }
+    }
+
+    private static void writeAndSync(Path file, String text) throws IOException {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
     }
 
     /** Reads the stored overrides; none if there is no file. Throws IOException if the file is incomplete. */
--- a/src/main/java/yewdock/daemon/ProcessHandover.java
+++ b/src/main/java/yewdock/daemon/ProcessHandover.java
@@ -56,6 +56,7 @@
     /** How long a third process has to wait for the oldest one to finish before it may take over. */
     private static final long FINISH_TIMEOUT_MILLIS = 2_000;
     private static final long POLL_MILLIS = 100;
+    private static final long STORE_RETRY_MILLIS = 200;
     /**
      * Age at which this process reports ready. The platform stops the older process at that moment, and
      * requires it within 6 s; until then the older one can finish its streams. Both serve in the meantime.
@@ -93,6 +94,8 @@
     private boolean listening;
     private boolean idsShared;
     private boolean toldToLetGo;
+    /** Whether overrides could not be written and are to be written again. */
+    private boolean overridesUnwritten;
 
     /** Creates the handover of a router whose processes share this folder; "" if they have none. */
     public ProcessHandover(String folder, Config config) {
@@ -465,8 +468,24 @@
         }
         try {
             overridesFile.write(reducer.operatorOverrides());
+            overridesUnwritten = false;
         } catch (IOException e) {
-            EventLog.warn("succession.marks_unwritten", "why", e.getMessage());
+            EventLog.warn("succession.marks_unwritten", "why", e.toString(), "now", "retrying");
+            retryStoringOverrides();
         }
     }
+
+    /** An override that was answered with a yes has to outlive the process, whatever the disk does now. */
+    private void retryStoringOverrides() {
+        if (overridesUnwritten) {
+            return;
+        }
+        overridesUnwritten = true;
+        transport.postDelayed(STORE_RETRY_MILLIS, () -> {
+            if (overridesUnwritten) {
+                overridesUnwritten = false;
+                storeOverrides();
+            }
+        });
+    }
 }
--- a/src/main/java/yewdock/verification/ServingProcess.java
+++ b/src/main/java/yewdock/verification/ServingProcess.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -40,6 +41,12 @@
      */
     public static ServingProcess start(List<String> mainAndArguments, Path folder, String configuration)
             throws IOException {
+        return start(mainAndArguments, folder, configuration, Map.of());
+    }
+
+    /** As above, with further environment variables. */
+    public static ServingProcess start(List<String> mainAndArguments, Path folder, String configuration,
+            Map<String, String> environment) throws IOException {
         Path config = Files.writeString(Files.createTempFile(folder, "config", ".json"), configuration);
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin",
                 "java").toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
@@ -48,6 +55,7 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+        builder.environment().putAll(environment);
         return new ServingProcess(builder.start());
     }
 
