Timeouts of operators' and lingering connections run by the monotonic clock

Cause: MINA's idle times and connect timeout use System.currentTimeMillis. Class of bug: a span of time measured by a clock that may be stepped. Change: sockets.SessionTimeouts, run by the dispatcher's loop, takes their place; MINA's connect timeout, which must never come first, is a year instead of an hour, so that a step of an hour doesn't end connects.

--- a/src/main/java/yewdock/sockets/AcceptedSessions.java
+++ b/src/main/java/yewdock/sockets/AcceptedSessions.java
@@ -3,13 +3,12 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import yewdock.platform.Connection;
 import yewdock.platform.ConnectionHandler;
 
 /** Handles accepted connections, each of which holds a permit of the limit until it is closed. */
-final class AcceptedSessions extends IoHandlerAdapter {
+class AcceptedSessions extends IoHandlerAdapter {
     private final SessionEvents events;
     private final ConnectionLimit limit;
     private final Supplier<MinaConnection> makeConnection;
@@ -46,11 +45,6 @@
         events.messageSent(session, message);
     }
 
-    @Override
-    public void sessionIdle(IoSession session, IdleStatus status) {
-        events.sessionIdle(session, status);
-    }
-
     @Override
     public void sessionClosed(IoSession session) {
         events.sessionClosed(session);
--- a/src/main/java/yewdock/sockets/DispatcherLoop.java
+++ b/src/main/java/yewdock/sockets/DispatcherLoop.java
@@ -34,6 +34,8 @@
     private final LongSupplier clock;
     /** Dispatches events to the reducer. */
     private final Consumer<Event> dispatch;
+    /** Runs after every task, and at least every MAX_SLEEP_MICROS. */
+    private final Runnable housekeeping;
     /** When the current task started: all urgent input that had arrived before has been handled. */
     private long taskStartedAt;
     /** The last period in which the process was suspended and read no input. */
@@ -42,11 +44,12 @@
     private boolean stopped;
 
     DispatcherLoop(TaskQueue queue, CompleteReadProcessor processor, LongSupplier clock,
-            Consumer<Event> dispatch) {
+            Consumer<Event> dispatch, Runnable housekeeping) {
         this.queue = queue;
         this.processor = processor;
         this.clock = clock;
         this.dispatch = dispatch;
+        this.housekeeping = housekeeping;
     }
 
     /** When the current task started, in microseconds. */
@@ -91,6 +94,7 @@
         if (reducer.nextTimerDue() <= clock.getAsLong()) {
             run(new Task(null, () -> dispatch.accept(new Event.Tick())));
         }
+        run(new Task(null, housekeeping));
     }
 
     /** Handles a possible pause of this length; it is negative if the process can't have been suspended. */
--- a/src/main/java/yewdock/sockets/LingeringClose.java
+++ b/src/main/java/yewdock/sockets/LingeringClose.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -24,12 +25,15 @@
     /** MINA can't shut down only the output of a connection and does not expose its channel. */
     private static final Field CHANNEL_FIELD = findChannelField();
 
-    private final int timeoutSeconds;
+
+    private final long timeoutNanos;
+    private final SessionTimeouts timeouts;
     /** The lingering connections, oldest first; used by MINA's threads and the dispatcher's. */
     private final Set<IoSession> sessions = Collections.synchronizedSet(new LinkedHashSet<>());
 
-    LingeringClose(int timeoutSeconds) {
-        this.timeoutSeconds = timeoutSeconds;
+    LingeringClose(int timeoutSeconds, SessionTimeouts timeouts) {
+        this.timeoutNanos = TimeUnit.SECONDS.toNanos(timeoutSeconds);
+        this.timeouts = timeouts;
     }
 
     private static Field findChannelField() {
@@ -59,7 +63,7 @@
             session.closeNow();
             return;
         }
-        session.getConfig().setWriterIdleTime(timeoutSeconds);
+        timeouts.start(session, timeoutNanos, session::closeNow);
         sessions.add(session);
         session.getCloseFuture().addListener(closed -> sessions.remove(session));
     }
--- a/src/main/java/yewdock/sockets/MinaTransport.java
+++ b/src/main/java/yewdock/sockets/MinaTransport.java
@@ -38,6 +38,11 @@
     private static final int MAX_QUEUED_BYTES = 4 << 20;
     private static final int MAX_QUEUED_DISCOVERY_BYTES = 1 << 20;
     private static final int MAX_READ_BYTES = 16 * 1024;
+    /**
+     * MINA's timeout for connecting, which must never come before the reducer's, also where the wall clock,
+     * by which it runs, is stepped forward.
+     */
+    private static final long CONNECT_TIMEOUT_MILLIS = TimeUnit.DAYS.toMillis(365);
     private static final long FINAL_WRITES_MILLIS = 300;
     /** Least time for an attempt to be written; writes take less even on a busy machine. */
     private static final long MIN_WRITE_DELAY_MICROS = 50_000;
@@ -50,6 +55,7 @@
         thread.setDaemon(true);
         return thread;
     });
+    private final SessionTimeouts timeouts = new SessionTimeouts(System::nanoTime);
     private final BoundedAcceptor acceptor;
     private final NioSocketConnector connector;
     private final CompleteReadProcessor processor;
@@ -77,26 +83,26 @@
     MinaTransport(int maxClients, long drainGraceMicros, int lingerSeconds) {
         maxWriteDelayMicros = Math.max(MIN_WRITE_DELAY_MICROS,
                 Math.min(MAX_WRITE_DELAY_MICROS, drainGraceMicros / 2));
-        lingering = new LingeringClose(lingerSeconds);
+        lingering = new LingeringClose(lingerSeconds, timeouts);
         clientLimit = new ConnectionLimit(maxClients + MAX_CLOSING_CLIENTS);
         // a single processor, as the router has one core
         processor = new CompleteReadProcessor(executor, this::isExpiredAttempt, MinaTransport::isClient);
-        loop = new DispatcherLoop(queue, processor, clock, event -> manager.dispatch(event));
+        loop = new DispatcherLoop(queue, processor, clock, event -> manager.dispatch(event),
+                timeouts::expire);
         events = new SessionEvents(processor, lingering, queueSpace, discoverySpace, clock, loop::arrival);
-        acceptor = acceptor(clientLimit, ConnectionPurpose.CLIENT, connection -> manager.accept(connection));
+        acceptor = acceptor(new AcceptedSessions(events, clientLimit,
+                () -> newConnection(ConnectionPurpose.CLIENT), connection -> manager.accept(connection)),
+                clientLimit);
         connector = new NioSocketConnector(executor, processor);
         connector.setHandler(events);
-        // the reducer times connecting; MINA's own timeout must never come first
-        connector.setConnectTimeoutMillis(TimeUnit.HOURS.toMillis(1));
+        connector.setConnectTimeoutMillis(CONNECT_TIMEOUT_MILLIS);
         configure(connector.getSessionConfig());
     }
 
-    /** Makes an acceptor of connections of this kind, up to the limit. */
-    private BoundedAcceptor acceptor(ConnectionLimit limit, ConnectionPurpose purpose,
-            Function<Connection, ConnectionHandler> makeHandler) {
+    /** Makes an acceptor of these sessions, up to the limit. */
+    private BoundedAcceptor acceptor(AcceptedSessions sessions, ConnectionLimit limit) {
         BoundedAcceptor newAcceptor = new BoundedAcceptor(executor, processor, limit, lingering);
-        newAcceptor.setHandler(
-                new AcceptedSessions(events, limit, () -> newConnection(purpose), makeHandler));
+        newAcceptor.setHandler(sessions);
         configure(newAcceptor.getSessionConfig());
         return newAcceptor;
     }
@@ -149,9 +155,22 @@
      */
     public void listenForOperators(String address, int maxConnections, int idleSeconds,
             Function<Connection, ConnectionHandler> makeHandler) throws IOException {
-        BoundedAcceptor operatorAcceptor = acceptor(new ConnectionLimit(maxConnections),
-                ConnectionPurpose.OPERATOR, makeHandler);
-        operatorAcceptor.getSessionConfig().setReaderIdleTime(idleSeconds);
+        ConnectionLimit limit = new ConnectionLimit(maxConnections);
+        BoundedAcceptor operatorAcceptor = acceptor(new AcceptedSessions(events, limit,
+                () -> newConnection(ConnectionPurpose.OPERATOR), makeHandler) {
+            @Override
+            public void sessionCreated(IoSession session) {
+                super.sessionCreated(session);
+                timeouts.start(session, TimeUnit.SECONDS.toNanos(idleSeconds), () ->
+                        MinaConnection.of(session).postToHandler(ConnectionHandler::onIdle));
+            }
+
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                timeouts.restart(session);
+                super.messageReceived(session, message);
+            }
+        }, limit);
         operatorAcceptor.bind(Addresses.parse(address));
         Logger.info("operators call {}", operatorAcceptor.getLocalAddress());
     }
--- a/src/main/java/yewdock/sockets/SessionEvents.java
+++ b/src/main/java/yewdock/sockets/SessionEvents.java
@@ -6,7 +6,6 @@
 import java.util.function.LongSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.tinylog.Logger;
 import yewdock.platform.Arrival;
@@ -94,12 +93,6 @@
         MinaConnection.of(session).postToHandler(handler -> handler.onWritten(bytes));
     }
 
-    /** Only lingering connections and those of operators have an idle time. */
-    @Override
-    public void sessionIdle(IoSession session, IdleStatus status) {
-        MinaConnection.of(session).postToHandler(ConnectionHandler::onIdle);
-    }
-
     @Override
     public void sessionClosed(IoSession session) {
         MinaConnection.of(session).postClosed();
