A connection whose peer reads nothing is closed after 30 s, also while it waits to be closed

Cause: MinaConnection.closeAfterWriting and closeLingering wait for the last write without a bound; the reducer closes slow readers of streams after 30 s by just that close. Class of bug: a wait for a peer without a timeout. Change: LingeringClose bounds both waits by SessionTimeouts: 30 s in which nothing could be written.

--- a/src/main/java/yewdock/sockets/LingeringClose.java
+++ b/src/main/java/yewdock/sockets/LingeringClose.java
@@ -19,20 +19,29 @@
  * timeout, after too many bytes, or when its descriptor is needed.
  */
 final class LingeringClose {
-    /** How long to wait for the peer to close. */
-    static final int TIMEOUT_SECONDS = 1;
+    /**
+     * How long a close may wait.
+     *
+     * @param closeSeconds for the peer to close, once the output is shut down
+     * @param readSeconds for the peer to read anything of what is still to be written
+     */
+    record Timeouts(int closeSeconds, int readSeconds) {
+        static final Timeouts DEFAULT = new Timeouts(1, 30);
+    }
+
     private static final int MAX_DROPPED_BYTES = 4 << 20;
     /** MINA can't shut down only the output of a connection and does not expose its channel. */
     private static final Field CHANNEL_FIELD = findChannelField();
 
-
-    private final long timeoutNanos;
+    private final long closeTimeoutNanos;
+    private final long readTimeoutNanos;
     private final SessionTimeouts timeouts;
     /** The lingering connections, oldest first; used by MINA's threads and the dispatcher's. */
     private final Set<IoSession> sessions = Collections.synchronizedSet(new LinkedHashSet<>());
 
-    LingeringClose(int timeoutSeconds, SessionTimeouts timeouts) {
-        this.timeoutNanos = TimeUnit.SECONDS.toNanos(timeoutSeconds);
+    LingeringClose(Timeouts lengths, SessionTimeouts timeouts) {
+        this.closeTimeoutNanos = TimeUnit.SECONDS.toNanos(lengths.closeSeconds());
+        this.readTimeoutNanos = TimeUnit.SECONDS.toNanos(lengths.readSeconds());
         this.timeouts = timeouts;
     }
 
@@ -46,8 +55,15 @@
         }
     }
 
+    /** Closes the session once everything is written, or when its peer has read nothing for long. */
+    void closeAfterWriting(IoSession session) {
+        timeouts.start(session, readTimeoutNanos, session::closeNow);
+        session.closeOnFlush();
+    }
+
     /** Shuts down the output after the last write, or at once if that is null. */
     void begin(IoSession session, WriteFuture lastWrite) {
+        timeouts.start(session, readTimeoutNanos, session::closeNow);
         if (lastWrite == null) {
             shutDownOutput(session);
         } else {
@@ -63,7 +79,7 @@
             session.closeNow();
             return;
         }
-        timeouts.start(session, timeoutNanos, session::closeNow);
+        timeouts.start(session, closeTimeoutNanos, session::closeNow);
         sessions.add(session);
         session.getCloseFuture().addListener(closed -> sessions.remove(session));
     }
--- a/src/main/java/yewdock/sockets/MinaConnection.java
+++ b/src/main/java/yewdock/sockets/MinaConnection.java
@@ -166,7 +166,7 @@
     public void closeAfterWriting() {
         if (!droppingInput) {
             droppingInput = true;
-            session.closeOnFlush();
+            lingering.closeAfterWriting(session);
         }
     }
 
--- a/src/main/java/yewdock/sockets/MinaTransport.java
+++ b/src/main/java/yewdock/sockets/MinaTransport.java
@@ -76,14 +76,14 @@
      * was suspended meanwhile.
      */
     public MinaTransport(int maxClients, long drainGraceMicros) {
-        this(maxClients, drainGraceMicros, LingeringClose.TIMEOUT_SECONDS);
+        this(maxClients, drainGraceMicros, LingeringClose.Timeouts.DEFAULT);
     }
 
-    /** The same with another timeout for lingering closes. */
-    MinaTransport(int maxClients, long drainGraceMicros, int lingerSeconds) {
+    /** The same with other timeouts for closes. */
+    MinaTransport(int maxClients, long drainGraceMicros, LingeringClose.Timeouts closeTimeouts) {
         maxWriteDelayMicros = Math.max(MIN_WRITE_DELAY_MICROS,
                 Math.min(MAX_WRITE_DELAY_MICROS, drainGraceMicros / 2));
-        lingering = new LingeringClose(lingerSeconds, timeouts);
+        lingering = new LingeringClose(closeTimeouts, timeouts);
         clientLimit = new ConnectionLimit(maxClients + MAX_CLOSING_CLIENTS);
         // a single processor, as the router has one core
         processor = new CompleteReadProcessor(executor, this::isExpiredAttempt, MinaTransport::isClient);
--- a/src/test/java/yewdock/sockets/LingeringCloseTest.java
+++ b/src/test/java/yewdock/sockets/LingeringCloseTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import yewdock.platform.Connection;
 import yewdock.platform.ConnectionHandler;
 
@@ -25,6 +27,8 @@
 class LingeringCloseTest {
     private static final String RESPONSE = "the whole answer";
     private static final int LONG_SECONDS = 3600;
+    /** More than the socket buffers of both sides hold. */
+    private static final int UNREAD_BYTES = 16 << 20;
     /** How many connections are accepted with a limit of 0 clients, to be closed again. */
     private static final int ACCEPTED_CONNECTIONS = 24;
 
@@ -32,7 +36,11 @@
     private ServingTransport serving;
 
     private void start(int seconds) throws Exception {
-        transport = new MinaTransport(0, 1_000_000, seconds);
+        start(new LingeringClose.Timeouts(seconds, LONG_SECONDS));
+    }
+
+    private void start(LingeringClose.Timeouts timeouts) throws Exception {
+        transport = new MinaTransport(0, 1_000_000, timeouts);
         serving = ServingTransport.start(transport,
                 Files.readString(Path.of("src/test/resources/exchanges/config.json"))
                 .replaceFirst("\\{", "{\"limits\":{\"sockets\":1024,\"memory_mb\":160},"));
@@ -116,6 +124,27 @@
         assertEquals(0, handler.received, "bytes after the close reached the handler");
     }
 
+    /** Guards against connections that are never closed because their peers read nothing. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void connectionOfAPeerThatReadsNothingIsClosed(boolean lingering) throws Exception {
+        start(new LingeringClose.Timeouts(LONG_SECONDS, 1));
+        PassiveHandler handler = new PassiveHandler();
+        try (Socket peer = connect(handler)) {
+            Connection connection = handler.connection.get();
+            serving.onDispatcher(() -> {
+                connection.write(ByteBuffer.allocate(UNREAD_BYTES));
+                if (lingering) {
+                    connection.closeLingering();
+                } else {
+                    connection.closeAfterWriting();
+                }
+            });
+            assertTrue(handler.closed.await(10, TimeUnit.SECONDS), "not closed");
+            assertTrue(peer.isConnected());
+        }
+    }
+
     /**
      * A request that crosses an ordinary close is answered by a reset: accepted by a half-closed connection,
      * it would seem to be taken and be lost.
