A stream counts as silent after 4.8 s without a byte, not 4.5 s without a part of its body

Cause: the router gave up 0.5 s before its client's 5 s; and bytes that end no part of the body, such as a chunk's size, did not count. Class of bug: a margin for the router's own delays taken from what its peer is owed. Change: 4.8 s, which leaves the 0.15 s for which a process may be held up; each byte of a response counts (Event.ResponseProgressed).

--- a/src/main/java/yewdock/core/Event.java
+++ b/src/main/java/yewdock/core/Event.java
@@ -64,8 +64,8 @@
     record AttemptWritten(long connection) implements Event {
     }
 
-    /** The first bytes of a response have arrived, but not yet its complete head and first stream event. */
-    record ResponseStarted(long connection) implements Event {
+    /** Bytes of a response have arrived that complete neither its head and first event nor a later part. */
+    record ResponseProgressed(long connection) implements Event {
     }
 
     /** The data received on a server connection can't be parsed; the rest of it is ignored. */
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -182,8 +182,8 @@
             requestReceived(e);
         } else if (event instanceof Event.ResponseCompleted e) {
             responses.responseCompleted(e);
-        } else if (event instanceof Event.ResponseStarted e) {
-            responses.responseStarted(e.connection());
+        } else if (event instanceof Event.ResponseProgressed e) {
+            responses.responseProgressed(e.connection());
         } else if (event instanceof Event.ResponseMalformed e) {
             responses.responseMalformed(e.connection());
         } else if (event instanceof Event.AttemptWritten e) {
--- a/src/main/java/yewdock/core/ResponseStreams.java
+++ b/src/main/java/yewdock/core/ResponseStreams.java
@@ -7,8 +7,11 @@
  * them for slow readers.
  */
 final class ResponseStreams {
-    /** Silence in microseconds after which a stream counts as broken; its client gives up after 5 s. */
-    static final long SILENCE_TIMEOUT_MICROS = 4_500_000;
+    /**
+     * Silence in microseconds after which a stream counts as broken: its client gives up after 5 s, and the
+     * router may be held up for 0.15 s.
+     */
+    static final long SILENCE_TIMEOUT_MICROS = 4_800_000;
     /**
      * Time in microseconds for the first stream event to be complete after the last data of the response's
      * start; after that the response counts as malformed.
@@ -41,15 +44,18 @@
     }
 
     /**
-     * A response's head and first event arrive together: if the rest is missing for too long, it will not
-     * come.
+     * Handles bytes that complete no part to forward: the server is still writing. A response's head and
+     * first event arrive together: if the rest is missing for too long, it will not come.
      */
-    void responseStarted(long id) {
+    void responseProgressed(long id) {
         ServerConnection connection = connections.get(id);
         Attempt attempt = connection == null ? null : connection.attempt;
-        if (attempt != null && attempt.closingOutcome == null && !attempt.isWinner()) {
-            long receivedAt = context.now();
-            attempt.lastDataAt = receivedAt;
+        if (attempt == null || attempt.closingOutcome != null) {
+            return;
+        }
+        long receivedAt = context.now();
+        attempt.lastDataAt = receivedAt;
+        if (!attempt.isWinner()) {
             context.runAt(receivedAt + START_TIMEOUT_MICROS, () -> {
                 if (attempt.connection == connection && connection.attempt == attempt && !attempt.isWinner()
                         && attempt.closingOutcome == null && attempt.lastDataAt == receivedAt) {
--- a/src/main/java/yewdock/model/SimulatedRouter.java
+++ b/src/main/java/yewdock/model/SimulatedRouter.java
@@ -22,7 +22,7 @@
     /** How long after a request's deadline its final answer may still come. */
     private static final double ANSWER_SLACK_MICROS = 20_000;
     /** A stream that delivers nothing for this long is ended. */
-    private static final double SILENT_STREAM_MICROS = 4.5 * MICROS_PER_SECOND;
+    private static final double SILENT_STREAM_MICROS = 4.8 * MICROS_PER_SECOND;
 
     final int number;
     final int site;
--- a/src/main/java/yewdock/model/Simulation.java
+++ b/src/main/java/yewdock/model/Simulation.java
@@ -263,10 +263,10 @@
         }
     }
 
-    /** Hangs a server; routers end its silent streams after 4.5 s if it still hangs then. */
+    /** Hangs a server; routers end its silent streams after 4.8 s if it still hangs then. */
     private void hangServer(SimulatedServer server) {
         server.setHung(true);
-        calendar.scheduleAfter(4.5 * MICROS_PER_SECOND, () -> {
+        calendar.scheduleAfter(4.8 * MICROS_PER_SECOND, () -> {
             if (server.hung) {
                 server.breakStreams();
             }
--- a/src/main/java/yewdock/platform/ServerConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ServerConnectionHandler.java
@@ -35,6 +35,8 @@
     private boolean attemptOpen;
     /** Whether the response's body has started; for a stream, whether its first event has been passed on. */
     private boolean bodyStarted;
+    /** Whether the bytes that are being read have completed a part of the body. */
+    private boolean partForwarded;
     /** Whether an earlier attempt on this connection got a complete response. */
     private boolean respondedBefore;
     private int unwrittenBytes;
@@ -109,6 +111,7 @@
         if (closing) {
             return;
         }
+        partForwarded = false;
         try {
             while (bytes.hasRemaining()) {
                 // On a reused connection, bytes that come before the attempt is written belong to the
@@ -122,8 +125,8 @@
                     responseComplete(!bytes.hasRemaining());
                 }
             }
-            if (attemptOpen && !bodyStarted && !reader.atMessageStart()) {
-                manager.dispatch(new Event.ResponseStarted(connectionId));
+            if (attemptOpen && !partForwarded && !reader.atMessageStart()) {
+                manager.dispatch(new Event.ResponseProgressed(connectionId));
             }
         } catch (BadMessageException e) {
             manager.counters().add("boxes.malformed_answers");
@@ -142,11 +145,13 @@
     public void body(ByteBuffer piece) {
         if (head.status() != 200) {
             bodyStarted = true;
+            partForwarded = true;
             return;
         }
         boolean first = !bodyStarted;
         stream.read(piece);
         if (!first) {
+            partForwarded = true;
             manager.dispatch(new Event.ResponseChunk(connectionId, piece));
             return;
         }
@@ -160,6 +165,7 @@
 
     private void flushPendingStart() {
         bodyStarted = true;
+        partForwarded = true;
         ByteBuffer start = ByteBuffer.wrap(pendingStart.toByteArray());
         pendingStart = new ByteArrayOutputStream(0);
         manager.dispatch(new Event.ResponseChunk(connectionId, start));
