An id that may have run does not run again after its client has left, nor at the other process

Cause: OpenRequests forgot an id with its last attempt, and RequestReleased freed it at the process that owns the ids. Class of bug: state about an effect dropped with the object that caused it. The state that a newer process takes has them (recent_ids), a release says so (may_have_run; both are new fields that older processes ignore), and the open ids of a process that dies are kept, too.

--- a/src/main/java/yewdock/core/Attempt.java
+++ b/src/main/java/yewdock/core/Attempt.java
@@ -38,6 +38,14 @@
         return request.winner == this;
     }
 
+    /** Whether the server may have run the request, by the attempt's outcome. */
+    boolean mayHaveRun(Outcome outcome) {
+        return switch (outcome) {
+            case FULL, CONNECT_FAILED, NOT_SENT -> false;
+            default -> written;
+        };
+    }
+
     /** Returns the number that identifies the attempt to other generations. */
     long token() {
         return request.id * TOKEN_FACTOR + number % TOKEN_FACTOR;
--- a/src/main/java/yewdock/core/Attempts.java
+++ b/src/main/java/yewdock/core/Attempts.java
@@ -178,6 +178,7 @@
             context.report(new RequestTransition.AttemptFailed(request.clientRequestId, attempt.number,
                     serverName(attempt), outcome, attempt.written, elapsedMicros));
         }
+        request.mayHaveRun |= attempt.mayHaveRun(outcome);
         boolean requestEnded = request.ended;
         context.callModule(request.id, m -> m.attemptEnded(context.now(), request.id, attempt.number, outcome,
                 elapsedMicros, requestEnded, cachedTokens, loadReport));
--- a/src/main/java/yewdock/core/GenerationMessage.java
+++ b/src/main/java/yewdock/core/GenerationMessage.java
@@ -16,8 +16,12 @@
             implements GenerationMessage {
     }
 
-    /** The request with this id is no longer open in the sender. */
-    record RequestReleased(String id) implements GenerationMessage {
+    /**
+     * The request with this id is no longer open in the sender.
+     *
+     * @param mayHaveRun whether a server may have run it without a complete response for its client
+     */
+    record RequestReleased(String id, boolean mayHaveRun) implements GenerationMessage {
     }
 
     /** An attempt has been sent to a server. */
--- a/src/main/java/yewdock/core/OpenRequest.java
+++ b/src/main/java/yewdock/core/OpenRequest.java
@@ -25,6 +25,10 @@
     Attempt nextAttempt;
     /** The attempt whose stream is forwarded to the client, from its first event on; else null. */
     Attempt winner;
+    /** Whether a server may have run the request. */
+    boolean mayHaveRun;
+    /** Whether the client got a complete response. */
+    boolean completed;
     /** Whether the request has its final answer. */
     boolean ended;
     /** Stream bytes forwarded to the client's connection and not yet written. */
--- a/src/main/java/yewdock/core/OpenRequests.java
+++ b/src/main/java/yewdock/core/OpenRequests.java
@@ -25,6 +25,7 @@
     private final Map<Long, OpenRequest> byClient = new HashMap<>();
     /** By the client's own request id: two requests with the same id must never be open together. */
     private final Map<String, OpenRequest> byRequestId = new HashMap<>();
+    private final RecentIds recentIds = new RecentIds();
     private long lastId;
     private int requestBytes;
 
@@ -63,9 +64,19 @@
         return requests.isEmpty();
     }
 
-    /** Whether a request with this client-chosen id is open. */
-    boolean isOpen(String id) {
-        return byRequestId.containsKey(id);
+    /** Whether a request with this client-chosen id is open, or has ended and may have run. */
+    boolean isOpenOrMayHaveRun(String id) {
+        return byRequestId.containsKey(id) || recentIds.contains(id, context.now());
+    }
+
+    /** Records that a request with this id may have run in another generation and has ended. */
+    void addRecentId(String id) {
+        recentIds.add(id, context.now());
+    }
+
+    /** Returns the ids of requests that have ended without a complete response and may have run. */
+    List<String> recentIds() {
+        return recentIds.all(context.now());
     }
 
     /** Returns the client-chosen ids of all open requests. */
@@ -105,7 +116,7 @@
             context.reportClosed(received.id(), CloseReason.REFUSED_AT_LIMIT, false, waitedMicros);
             countEnd(received, RequestOutcome.REJECTED);
             context.emit(new Effect.Refuse(event.client(), 0));
-            releaseId(received.id());
+            releaseId(received.id(), false);
             return;
         }
         long timeoutMicros = Math.max(0, received.timeoutMicros() - waitedMicros);
@@ -122,7 +133,7 @@
                 received.maxOutputTokens(), timeoutMicros)));
     }
 
-    /** Rejects a request whose id belongs to an open request. */
+    /** Rejects a request whose id belongs to one that is open or may have run. */
     void rejectDuplicate(Event.RequestReceived event) {
         context.count("answers.twin");
         context.reportClosed(event.request().id(), CloseReason.DUPLICATE_ID, false, 0);
@@ -187,6 +198,7 @@
         OpenRequest request = attempt.request;
         context.count("answers.served");
         context.emit(new Effect.EndResponse(request.client));
+        request.completed = true;
         finish(request, RequestOutcome.COMPLETED);
         attempts.closeOthers(attempt);
     }
@@ -220,15 +232,20 @@
     /** Removes a request that has been answered and has no attempt in flight. */
     private void removeIfDone(OpenRequest request) {
         if (request.ended && request.attemptsInFlight.isEmpty() && requests.remove(request.id) != null) {
+            boolean mayRunTwice = request.mayHaveRun && !request.completed;
             byRequestId.remove(request.clientRequestId);
-            releaseId(request.clientRequestId);
+            if (mayRunTwice) {
+                addRecentId(request.clientRequestId);
+            }
+            releaseId(request.clientRequestId, mayRunTwice);
         }
     }
 
-    /** Tells the generation that owns the request ids that this one is free again. */
-    private void releaseId(String id) {
+    /** Tells the generation that owns the request ids that this one is no longer open. */
+    private void releaseId(String id, boolean mayHaveRun) {
         if (otherGenerations.mustClaim()) {
-            context.emit(new Effect.SendToGenerations(new GenerationMessage.RequestReleased(id)));
+            context.emit(new Effect.SendToGenerations(
+                    new GenerationMessage.RequestReleased(id, mayHaveRun)));
         }
     }
 }
--- a/src/main/java/yewdock/core/OtherGenerations.java
+++ b/src/main/java/yewdock/core/OtherGenerations.java
@@ -118,6 +118,11 @@
         state.attemptsInFlight().forEach(sent -> tokens.add(sent.token()));
     }
 
+    /** Returns the request ids that a generation has open. */
+    Set<String> openIds(int generation) {
+        return openIds.getOrDefault(generation, Set.of());
+    }
+
     /** Forgets a generation that has ended and returns its attempts in flight, which have ended with it. */
     Set<Long> generationEnded(int generation) {
         openIds.remove(generation);
@@ -152,7 +157,8 @@
         timers.runAt(now.getAsLong() + CLAIM_TIMEOUT_MICROS, () -> {
             if (pendingClaims.remove(id, claim)) {
                 counters.add("claims.unanswered");
-                effects.accept(new Effect.SendToGenerations(new GenerationMessage.RequestReleased(id)));
+                effects.accept(new Effect.SendToGenerations(
+                        new GenerationMessage.RequestReleased(id, false)));
                 admission.refuse(event);
             }
         });
@@ -166,7 +172,7 @@
                 abandoned.add(claim.event);
                 pendingClaims.remove(claim.event.request().id());
                 effects.accept(new Effect.SendToGenerations(
-                        new GenerationMessage.RequestReleased(claim.event.request().id())));
+                        new GenerationMessage.RequestReleased(claim.event.request().id(), false)));
             }
         }
         return abandoned;
@@ -176,10 +182,10 @@
      * Answers another generation's claim, which is refused if this generation doesn't own the ids or the id
      * is open here or in a third one.
      */
-    void answerClaim(int generation, GenerationMessage.Claim claim, boolean isOpenHere) {
+    void answerClaim(int generation, GenerationMessage.Claim claim, boolean isTakenHere) {
         boolean elsewhere = openIds.entrySet().stream()
                 .anyMatch(entry -> entry.getKey() != generation && entry.getValue().contains(claim.id()));
-        boolean granted = !mustClaim && !isOpenHere && !elsewhere;
+        boolean granted = !mustClaim && !isTakenHere && !elsewhere;
         if (granted) {
             openIds.computeIfAbsent(generation, key -> new HashSet<>()).add(claim.id());
         }
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -168,7 +168,7 @@
     public GenerationState generationState() {
         List<String> ids = openRequests.requestIds();
         ids.addAll(otherGenerations.claimedIds());
-        return new GenerationState(ids, Attempts.inFlight(openRequests.all()),
+        return new GenerationState(ids, openRequests.recentIds(), Attempts.inFlight(openRequests.all()),
                 new EndpointList(watch.version(), true, servers.listed()), watch.address(),
                 servers.stateSince());
     }
@@ -229,6 +229,7 @@
         } else if (event instanceof Event.GenerationStateReceived e) {
             adoptState(e.generation(), e.state());
         } else if (event instanceof Event.GenerationGone e) {
+            otherGenerations.openIds(e.generation()).forEach(openRequests::addRecentId);
             otherGenerations.generationEnded(e.generation())
                     .forEach(token -> reportAttemptEnded(e.generation(), token));
         } else if (event instanceof Event.HandedOver e) {
@@ -354,7 +355,7 @@
         context.count("requests.taken");
         clients.requestReceived(event.client());
         ModelRequest request = event.request();
-        if (openRequests.isOpen(request.id()) || otherGenerations.isClaimedOrOpen(request.id())) {
+        if (openRequests.isOpenOrMayHaveRun(request.id()) || otherGenerations.isClaimedOrOpen(request.id())) {
             openRequests.rejectDuplicate(event);
         } else if (context.inDoubt()) {
             context.count("answers.refused_in_doubt");
@@ -502,11 +503,14 @@
 
     private void messageReceived(int generation, GenerationMessage message) {
         if (message instanceof GenerationMessage.Claim claim) {
-            otherGenerations.answerClaim(generation, claim, openRequests.isOpen(claim.id()));
+            otherGenerations.answerClaim(generation, claim, openRequests.isOpenOrMayHaveRun(claim.id()));
         } else if (message instanceof GenerationMessage.ClaimAnswer answer) {
             otherGenerations.claimAnswered(answer);
         } else if (message instanceof GenerationMessage.RequestReleased released) {
             otherGenerations.requestReleased(generation, released.id());
+            if (released.mayHaveRun()) {
+                openRequests.addRecentId(released.id());
+            }
         } else if (message instanceof GenerationMessage.AttemptSent sent) {
             otherGenerations.attemptSent(generation, sent.token());
             context.callModule(0, m -> m.otherGenerationSent(context.now(), generation + "/" + sent.token(),
@@ -532,6 +536,7 @@
     private void adoptState(int generation, GenerationState state) {
         otherGenerations.generationEnded(generation).forEach(token -> reportAttemptEnded(generation, token));
         otherGenerations.adoptState(generation, state);
+        state.recentIds().forEach(openRequests::addRecentId);
         for (GenerationMessage.AttemptSent sent : state.attemptsInFlight()) {
             context.callModule(0, m -> m.otherGenerationSent(context.now(), generation + "/" + sent.token(),
                     sent.server()));
--- a/src/main/java/yewdock/daemon/StateCodec.java
+++ b/src/main/java/yewdock/daemon/StateCodec.java
@@ -133,6 +133,7 @@
     /** Encodes what a generation holds: open request ids, attempts in flight and the endpoint list. */
     static Sharing encodeGenerationState(GenerationState generation) {
         Sharing.Builder encoded = Sharing.newBuilder().addAllIds(generation.requestIds())
+                .addAllRecentIds(generation.recentIds())
                 .setBoxes(encodeEndpointList(generation.endpointList(), generation.discoveryAddress(),
                         generation.toldAt()));
         generation.attemptsInFlight().forEach(o ->
@@ -145,7 +146,8 @@
         List<GenerationMessage.AttemptSent> attempts = new ArrayList<>();
         encoded.getOutsList().forEach(o ->
                 attempts.add(new GenerationMessage.AttemptSent(o.getToken(), o.getBox())));
-        return new GenerationState(encoded.getIdsList(), attempts, decodeEndpointList(encoded.getBoxes()),
+        return new GenerationState(encoded.getIdsList(), encoded.getRecentIdsList(), attempts,
+                decodeEndpointList(encoded.getBoxes()),
                 encoded.getBoxes().getAddress(), Map.of());
     }
 
@@ -162,7 +164,7 @@
                 news.setDenied(c.id());
             }
         } else if (n instanceof GenerationMessage.RequestReleased r) {
-            news.setReleased(r.id());
+            news.setReleased(r.id()).setMayHaveRun(r.mayHaveRun());
         } else if (n instanceof GenerationMessage.AttemptSent s) {
             news.setSent(Out.newBuilder().setToken(s.token()).setBox(s.server()));
         } else if (n instanceof GenerationMessage.AttemptEnded e) {
@@ -179,7 +181,7 @@
             case CLAIM -> new GenerationMessage.Claim(n.getClaim(), n.getNumber());
             case GRANTED -> new GenerationMessage.ClaimAnswer(n.getOf(), n.getGranted(), n.getNumber(), true);
             case DENIED -> new GenerationMessage.ClaimAnswer(n.getOf(), n.getDenied(), n.getNumber(), false);
-            case RELEASED -> new GenerationMessage.RequestReleased(n.getReleased());
+            case RELEASED -> new GenerationMessage.RequestReleased(n.getReleased(), n.getMayHaveRun());
             case SENT -> new GenerationMessage.AttemptSent(n.getSent().getToken(), n.getSent().getBox());
             case ENDED -> new GenerationMessage.AttemptEnded(n.getEnded());
             case BOXES -> new GenerationMessage.EndpointListRelayed(decodeEndpointList(n.getBoxes()),
--- a/src/test/java/yewdock/daemon/StateCodecTest.java
+++ b/src/test/java/yewdock/daemon/StateCodecTest.java
@@ -29,7 +29,7 @@
             List.of(new LearnedState.LearnedServer(7, 64, List.of(5L, 0L), List.of(1, 0), 900, 2, 1, 800, 50,
                     700, 600)),
             List.of(new LearnedState.LearnedKey(42, 3.5, 4, 0)), List.of(11.0));
-    private static final GenerationState GENERATION = new GenerationState(List.of("x", "y"),
+    private static final GenerationState GENERATION = new GenerationState(List.of("x", "y"), List.of("z"),
             List.of(new GenerationMessage.AttemptSent(3, 7)),
             new EndpointList(41, true, List.of(new ModelServer("s-7", "127.0.0.1:9001", new ServerState(7, 1,
                     2, 3, 1.5, Lifecycle.DRAINING, 123)))), "127.0.0.1:8500", Map.of(7L, 2_000L));
@@ -51,6 +51,8 @@
         assertEquals(Map.of("answers.served", 5L), inherited.counters());
         assertEquals(GENERATION.requestIds(),
                 StateCodec.decodeGenerationState(StateCodec.encodeGenerationState(GENERATION)).requestIds());
+        assertEquals(GENERATION.recentIds(),
+                StateCodec.decodeGenerationState(StateCodec.encodeGenerationState(GENERATION)).recentIds());
         assertEquals(GENERATION.attemptsInFlight(), StateCodec.decodeGenerationState(
                 StateCodec.encodeGenerationState(GENERATION)).attemptsInFlight());
     }
