A server that was started again is not reached over connections to its old process

Cause: ServerConnections compared addresses only, and Attempts.connected not even these, against its own comment. Class of bug: a process identified by its address. Change: ModelServer.isSameProcess compares address and start time; ServerConnection.reaches serves the idle list, a release and a new connection alike. Evidence: the exchange server-replaced; on the code before line1 stays open at 10 and, at 2214, the attempt goes out over line3.

--- a/src/main/java/yewdock/core/Attempts.java
+++ b/src/main/java/yewdock/core/Attempts.java
@@ -212,8 +212,8 @@
         }
         connection.established = true;
         ModelServer server = servers.get(connection.server.id());
-        // The server may have begun to drain or moved to another address while the connection was opened.
-        if (!isUsable(server)) {
+        // The server may have begun to drain, moved or been replaced while the connection was opened.
+        if (!connection.reaches(server) || context.inDoubt()) {
             close(connection.attempt, Outcome.NOT_SENT);
         } else {
             sendOver(connection, connection.attempt);
--- a/src/main/java/yewdock/core/ModelServer.java
+++ b/src/main/java/yewdock/core/ModelServer.java
@@ -14,6 +14,14 @@
         return replica.lifecycle() == Routing.Lifecycle.GONE;
     }
 
+    /**
+     * Whether connections that were made to this entry's process reach the one of a newer entry: the server
+     * has neither moved nor been started again since.
+     */
+    boolean isSameProcess(ModelServer newer) {
+        return newer.address.equals(address) && newer.replica.startedAt() <= replica.startedAt();
+    }
+
     /** Whether new attempts may be sent to the server. */
     boolean takesWork() {
         return replica.lifecycle() == Routing.Lifecycle.READY;
--- a/src/main/java/yewdock/core/ServerConnection.java
+++ b/src/main/java/yewdock/core/ServerConnection.java
@@ -17,4 +17,9 @@
         this.id = id;
         this.server = server;
     }
+
+    /** Whether it leads to the process of this server's current entry and that takes work; null: no entry. */
+    boolean reaches(ModelServer current) {
+        return current != null && current.takesWork() && server.isSameProcess(current);
+    }
 }
--- a/src/main/java/yewdock/core/ServerConnections.java
+++ b/src/main/java/yewdock/core/ServerConnections.java
@@ -139,8 +139,7 @@
     void release(ServerConnection connection, boolean reusable) {
         connection.attempt = null;
         ModelServer server = servers.get(connection.server.id());
-        if (reusable && server != null && server.takesWork()
-                && server.address().equals(connection.server.address())) {
+        if (reusable && connection.reaches(server)) {
             resumeReading(connection);
             addIdle(connection);
         } else {
@@ -177,13 +176,12 @@
         }
     }
 
-    /** Closes idle connections to servers that take no more work or have moved to another address. */
+    /** Closes idle connections to servers that take no more work, have moved or were started again. */
     void closeUnusableIdle() {
         for (Map.Entry<Long, Deque<ServerConnection>> entry : idle.entrySet()) {
             ModelServer server = servers.get(entry.getKey());
             entry.getValue().removeIf(connection -> {
-                boolean unusable = server == null || !server.takesWork()
-                        || !server.address().equals(connection.server.address());
+                boolean unusable = !connection.reaches(server);
                 if (unusable) {
                     close(connection);
                 }
