A process and the one that replaces it stay below the memory limit together

Cause: heap flags and bounds were made for one process: 80 MB of heap each, a twentieth to an eighth of the whole limit per kind of bytes; the serial collector grows the heap before it collects it. Class of bug: a limit that holds for a sum, applied to each part.

--- a/src/main/java/yewdock/core/ResourceLimits.java
+++ b/src/main/java/yewdock/core/ResourceLimits.java
@@ -16,9 +16,12 @@
      */
     private static final int CONNECTIONS_DIVISOR = 3;
     /**
-     * Divisor: complete requests may use this fraction of the memory; the rest of the heap serves all else.
+     * Divisor: complete requests may use this fraction of the memory, which a process shares with the one
+     * that replaces it.
      */
-    private static final int BYTES_DIVISOR = 8;
+    private static final int MEMORY_DIVISOR = 12;
+    /** Divisor: and at most this fraction of the heap; the rest of it serves all else. */
+    private static final int HEAP_DIVISOR = 3;
     /** Divisor: what clients have sent of incomplete requests may use this fraction of that. */
     private static final int INPUT_DIVISOR = 3;
     /** Divisor: what clients have not yet taken of their responses may use this fraction of that. */
@@ -29,12 +32,16 @@
     /** Lower bound for the number of connections of each kind. */
     private static final int MIN_CONNECTIONS = 16;
 
-    /** Returns the limits for this many file descriptors and megabytes of memory. */
-    public static ResourceLimits within(int descriptors, int megabytes) {
+    /**
+     * Returns the limits for this many file descriptors and megabytes of memory.
+     *
+     * @param maxHeapBytes the most that the process's heap may take
+     */
+    public static ResourceLimits within(int descriptors, int megabytes, long maxHeapBytes) {
         int servers = Math.max(MIN_CONNECTIONS, descriptors / CONNECTIONS_DIVISOR);
         int clients = Math.max(MIN_CONNECTIONS, descriptors - servers - RESERVED_DESCRIPTORS);
-        return new ResourceLimits(clients, servers, servers, (int) Math.min(Integer.MAX_VALUE,
-                ((long) megabytes << 20) / BYTES_DIVISOR));
+        long requestBytes = Math.min(((long) megabytes << 20) / MEMORY_DIVISOR, maxHeapBytes / HEAP_DIVISOR);
+        return new ResourceLimits(clients, servers, servers, (int) Math.min(Integer.MAX_VALUE, requestBytes));
     }
 
     /** Returns the memory for what all clients have sent of requests that are not complete. */
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -115,7 +115,8 @@
         if (sockets < MIN_SOCKETS || megabytes < MIN_MEMORY_MB) {
             throw new IllegalArgumentException("limits are too small: " + limits);
         }
-        return ResourceLimits.within(sockets, Math.min(megabytes, MAX_MEMORY_MB));
+        return ResourceLimits.within(sockets, Math.min(megabytes, MAX_MEMORY_MB),
+                Runtime.getRuntime().maxMemory());
     }
 
     private static List<Routing.RequestClass> classes(JSONObject settingsJson) {
