Servers are as old as they are, also where the wall clock was stepped

Callers saw (found by reading, shown by the new test): after a step of the wall clock back by an hour, a server that had just started counted as warm and would get its full share at once; after one forward, it counted as cold for an hour. Cause: started_ms is a Unix time; the router compared it with its monotonic clock, whose offset is that of its own start. Class of bug: a time of one clock compared with another's. Change: platform.ServerStartTimes converts each report once: of all steps seen, the latest start that is not in the future counts, so that no server is taken to be warm that may be cold. A process that takes over learns of the older one's offset (StateCodec shifts start times by more than 0.1 s). StateCodecTest's clocks differ by 1 s, so that its start time moves; a difference of 0.05 s is checked, too. Evidence: ServerStartTimesTest; its first case compares what EndpointListReader used before (the report itself) with the age.

--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -204,6 +204,7 @@
                 config.settings().contract().drainGrace());
         connectionManager = new ConnectionManager(config, reducer, counters, transport, transport.clock(),
                 this::log);
+        connectionManager.followWallClock(MonotonicClock::wallMicros);
         connectionManager.reportTransitionsTo(new RequestTransitionLog(transport.clock())::write);
         connectionManager.forwardGenerationEffectsTo(this::sendToOthers);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> transport.shutDownGracefully(), "leave"));
@@ -276,6 +277,9 @@
     /** Sends the reducer its first event, with the endpoint list of the previous process if there is one. */
     static void startReducer(ConnectionManager connectionManager, Reducer reducer, Config config,
             StateCodec.InheritedState inherited) {
+        if (inherited != null) {
+            connectionManager.addWallClockOffset(-inherited.clockShiftMicros());
+        }
         boolean sameList = inherited != null
                 && inherited.discoveryAddress().equals(config.discoveryAddress());
         if (inherited == null || inherited.endpointList().servers().isEmpty()
--- a/src/main/java/yewdock/daemon/StandaloneRouter.java
+++ b/src/main/java/yewdock/daemon/StandaloneRouter.java
@@ -15,6 +15,7 @@
 import yewdock.platform.Config;
 import yewdock.platform.ConnectionManager;
 import yewdock.sockets.MinaTransport;
+import yewdock.sockets.MonotonicClock;
 
 /** Runs a single router in this process, without supervisor and store. */
 public final class StandaloneRouter {
@@ -60,6 +61,7 @@
                 config.settings().contract().drainGrace());
         ConnectionManager connectionManager = new ConnectionManager(config, reducer, counters, transport,
                 transport.clock(), log);
+        connectionManager.followWallClock(MonotonicClock::wallMicros);
         connectionManager.reportTransitionsTo(new RequestTransitionLog(transport.clock())::write);
         // The JVM exits when its shutdown hooks have finished; this one waits for all open requests.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/yewdock/daemon/StateCodec.java
+++ b/src/main/java/yewdock/daemon/StateCodec.java
@@ -31,6 +31,8 @@
     static final int OLDEST_READABLE_VERSION = 1;
     /** Lowest format version that a reader must support to read what is written now. */
     static final int MIN_READER_VERSION = 1;
+    /** The clocks of two processes differ by more than this only if the wall clock was stepped between. */
+    private static final long MIN_CLOCK_STEP_MICROS = 100_000;
 
     private StateCodec() {
     }
@@ -84,7 +86,7 @@
                     toldAt.put(server.getId(), server.getToldAt() + shiftMicros);
                 }
             }
-            return new InheritedState(decodeEndpointList(encoded.getBoxes()),
+            return new InheritedState(decodeEndpointList(encoded.getBoxes(), startShift(shiftMicros)),
                     encoded.getBoxes().getAddress(), toldAt,
                     encoded.hasModule() ? learnedState(encoded.getModule()) : null, shiftMicros,
                     Map.copyOf(encoded.getCountersMap()), encoded.getAfterRestart());
@@ -203,7 +205,16 @@
         return encoded.build();
     }
 
+    /** How far start times are to be moved; they are not for less than a step of the wall clock. */
+    private static long startShift(long clockShiftMicros) {
+        return Math.abs(clockShiftMicros) < MIN_CLOCK_STEP_MICROS ? 0 : clockShiftMicros;
+    }
+
     private static EndpointList decodeEndpointList(Boxes encoded) {
+        return decodeEndpointList(encoded, 0);
+    }
+
+    private static EndpointList decodeEndpointList(Boxes encoded, long startShiftMicros) {
         List<ModelServer> servers = new ArrayList<>();
         for (Box server : encoded.getBoxesList()) {
             if (server.getLifecycle() < 0 || server.getLifecycle() >= Lifecycle.values().length) {
@@ -211,7 +222,8 @@
             }
             servers.add(new ModelServer(server.getName(), server.getAddress(), new ServerState(server.getId(),
                     server.getSite(), server.getKind(), server.getCell(), server.getWeight(),
-                    Lifecycle.values()[server.getLifecycle()], server.getStartedAt())));
+                    Lifecycle.values()[server.getLifecycle()],
+                    server.getStartedAt() == 0 ? 0 : server.getStartedAt() + startShiftMicros)));
         }
         return new EndpointList(encoded.getVersion(), encoded.getFull(), servers);
     }
--- a/src/main/java/yewdock/platform/Config.java
+++ b/src/main/java/yewdock/platform/Config.java
@@ -87,7 +87,8 @@
         return new Config(all.getString("name"), all.getString("listen"), operator, discovery,
                 Long.parseUnsignedLong(all.getString("seed"), 16), micros(limitsJson, "keepalive"), settings,
                 names, bounds(all.optJSONObject("limits", new JSONObject())),
-                known == null ? EndpointList.UNKNOWN : new EndpointListReader(names, log).read(known));
+                known == null ? EndpointList.UNKNOWN : new EndpointListReader(names, log,
+                        ServerStartTimes.asReported()).read(known));
     }
 
     /** Names the parts of a new configuration that differ from this one and need a restart to take effect. */
--- a/src/main/java/yewdock/platform/ConnectionManager.java
+++ b/src/main/java/yewdock/platform/ConnectionManager.java
@@ -25,6 +25,9 @@
     private final Counters counters;
     private final Transport transport;
     private final EndpointListReader listReader;
+    private final ServerStartTimes startTimes;
+    /** Unix time in microseconds, by which servers report their start; it may be stepped. */
+    private LongSupplier wallClock;
     private final NameIndexes names;
     /** Limits what clients have sent and is no complete request; the reducer limits complete requests. */
     private final InputMemory inputMemory;
@@ -57,10 +60,12 @@
         this.counters = counters;
         this.transport = transport;
         this.names = config.names();
+        this.startTimes = new ServerStartTimes(clock, () -> wallClock.getAsLong());
+        this.wallClock = clock;
         this.listReader = new EndpointListReader(names, line -> {
             counters.add("list.unusable_entries");
             log.accept(line);
-        });
+        }, startTimes);
         this.config = config;
         this.inputMemory = new InputMemory(config.bounds().maxInputBytes());
         this.clock = clock;
@@ -78,6 +83,16 @@
         dispatch(new Event.Started(known, config.discoveryAddress()));
     }
 
+    /** Sets the clock by which servers report their start: Unix time in microseconds. */
+    public void followWallClock(LongSupplier newWallClock) {
+        wallClock = newWallClock;
+    }
+
+    /** Adds what the wall clock was ahead of the router's clock earlier, in microseconds. */
+    public void addWallClockOffset(long offsetMicros) {
+        startTimes.addOffset(offsetMicros);
+    }
+
     /** Sets the receiver of effects that concern other generations. */
     public void forwardGenerationEffectsTo(Consumer<Effect> receiver) {
         generationEffects = receiver;
@@ -122,6 +137,7 @@
             return;
         }
         dispatching = true;
+        startTimes.observe();
         try {
             while (!pendingEvents.isEmpty()) {
                 reducer.reduce(pendingEvents.poll(), clock.getAsLong()).forEach(this::performSafely);
--- a/src/main/java/yewdock/platform/EndpointListReader.java
+++ b/src/main/java/yewdock/platform/EndpointListReader.java
@@ -28,13 +28,18 @@
 
     private final NameIndexes names;
     private final Consumer<String> log;
+    private final ServerStartTimes startTimes;
     /** The id of each listed name. Two names that contain the same number must not share an id. */
     private final Map<String, Long> idsByName = new HashMap<>();
 
-    /** Makes a reader that resolves zones and kinds by these names and logs unusable entries. */
-    public EndpointListReader(NameIndexes names, Consumer<String> log) {
+    /**
+     * Makes a reader that resolves zones and kinds by these names, logs unusable entries and gives start
+     * times on the router's clock.
+     */
+    EndpointListReader(NameIndexes names, Consumer<String> log, ServerStartTimes startTimes) {
         this.names = names;
         this.log = log;
+        this.startTimes = startTimes;
     }
 
     /** Keeps the ids that servers have in this list, which is from the configuration or a predecessor. */
@@ -61,6 +66,7 @@
             }
         }
         forgetUnlisted(servers.values(), full);
+        startTimes.retain(Set.copyOf(idsByName.values()));
         return new EndpointList(version, full, List.copyOf(servers.values()));
     }
 
@@ -134,7 +140,7 @@
         }
         return new ModelServer(name, address, new ServerState(id, index(names.zones(), entry, "zone"),
                 index(names.serverKinds(), entry, "kind"), entry.optInt("cell", 0), weight, lifecycle,
-                startedMillis * 1000));
+                startTimes.onRouterClock(id, startedMillis * 1000)));
     }
 
     private long idOf(String name) {
--- a/src/main/java/yewdock/sockets/MonotonicClock.java
+++ b/src/main/java/yewdock/sockets/MonotonicClock.java
@@ -7,7 +7,12 @@
  * sources can be compared with it without conversion.
  */
 public final class MonotonicClock implements LongSupplier {
-    private final long offset = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+    private final long offset = wallMicros() - System.nanoTime() / 1000;
+
+    /** Returns Unix time in microseconds, by the wall clock, which may be stepped. */
+    public static long wallMicros() {
+        return System.currentTimeMillis() * 1000;
+    }
 
     @Override
     public long getAsLong() {
