Test: a discovery whose calls take 3 s is never heard (known red); the soak's client sees closes

Change: DrainUnderFaultsTest.slowDiscoveryIsHeard, listed as known red; SoakClient looks for the connection's end before it writes.

--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -52,6 +52,21 @@
         }
     }
 
+    /** Guards against a discovery service that is never heard because each of its answers takes 3 s. */
+    @Test
+    void slowDiscoveryIsHeard() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 1, SERVER_COUNT)) {
+            rig.discovery(0).delayCalls(3_000);
+            rig.restartRouter(0);
+            sleep(6_000);
+            rig.setStateEverywhere(0, EndpointState.DRAINING);
+            sleep(OBSERVATION_MILLIS);
+            rig.setStateEverywhere(1, EndpointState.REMOVED);
+            sleep(OBSERVATION_MILLIS);
+            assertDrainsKept(rig);
+        }
+    }
+
     /** Discovery restarts and counts versions from 1, lower than the version that the router has. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/src/test/java/yewdock/faults/ScriptedDiscovery.java
+++ b/src/test/java/yewdock/faults/ScriptedDiscovery.java
@@ -49,6 +49,7 @@
     private boolean reachable = true;
     /** What the next call is answered with instead of the list; null if nothing. */
     private String staleResponse;
+    private volatile long callDelayMillis;
 
     ScriptedDiscovery(int router, DrainRuleChecker checker) throws IOException {
         this.router = router;
@@ -85,6 +86,11 @@
         nextCallFaults.addAll(faults);
     }
 
+    /** Makes the service slow: from now on it begins to handle each call only after this time. */
+    void delayCalls(long millis) {
+        callDelayMillis = millis;
+    }
+
     /** Resets all open connections, and so the watches on them. */
     void resetOpenWatches() {
         openConnections.forEach(ScriptedDiscovery::reset);
@@ -157,6 +163,7 @@
     }
 
     private void respond(Socket socket, String target) throws IOException {
+        delay();
         CallFault fault;
         synchronized (this) {
             fault = nextCallFaults.poll();
@@ -208,6 +215,14 @@
         }
     }
 
+    private void delay() {
+        try {
+            Thread.sleep(callDelayMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void awaitChange(long millis) {
         try {
             wait(millis);
--- a/src/test/java/yewdock/faults/SoakClient.java
+++ b/src/test/java/yewdock/faults/SoakClient.java
@@ -90,6 +90,30 @@
             keepsOpen = sendRequest(socket, first);
             first = false;
             pause(random.nextInt(MAX_PAUSE_MILLIS));
+            keepsOpen = keepsOpen && !isClosedByRouter(socket);
+        }
+    }
+
+    /** Whether the end of the connection has arrived between two requests. */
+    private static boolean isClosedByRouter(Socket socket) {
+        try {
+            socket.setSoTimeout(1);
+            socket.getInputStream().read();
+            return true;
+        } catch (SocketTimeoutException e) {
+            return restoreTimeout(socket);
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Returns false, or true if the connection has ended. */
+    private static boolean restoreTimeout(Socket socket) {
+        try {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            return false;
+        } catch (IOException e) {
+            return true;
         }
     }
 
