Log lines are written by a thread of their own: a stalled reader of the log stops nothing

Callers saw (found by reading): TinylogProvider printed on the calling thread. Where the reader of the process's output stops, the reducer's thread would stand still once the pipe is full, and all requests with it; the lines of this incident's logging make that likelier. Cause: a blocking write to a peer on the thread that serves everybody. Class of bug: a wait for a peer without a timeout. Change: logging.LineWriter queues 1,000 lines, drops what does not fit and writes how many; errors, exits and halts wait for it for 0.2 to 0.3 s at most. Evidence: LineWriterTest.callersDoNotWaitForAReaderThatHasStopped; a blocking PrintStream cannot pass it.

--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -322,6 +322,7 @@
         EventLog.warn("keeper.lost", "generation", number, "why", reason, "now", "serving without upgrades");
         if (!started) {
             // without the supervisor it will never be told to serve
+            EventLog.flush();
             Runtime.getRuntime().halt(1);
         }
     }
--- a/src/main/java/yewdock/daemon/ProcessHandover.java
+++ b/src/main/java/yewdock/daemon/ProcessHandover.java
@@ -261,6 +261,7 @@
             listening = true;
         } catch (IOException e) {
             EventLog.warn("succession.no_listener", "address", address, "why", e.getMessage());
+            EventLog.flush();
             Runtime.getRuntime().halt(1);
         }
     }
--- a/src/main/java/yewdock/daemon/StandaloneRouter.java
+++ b/src/main/java/yewdock/daemon/StandaloneRouter.java
@@ -6,12 +6,12 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
-import org.tinylog.provider.ProviderRegistry;
 import umberspread.BoundedLoadRouter;
 import yewdock.admin.AdminInterface;
 import yewdock.core.CoreSettings;
 import yewdock.core.Counters;
 import yewdock.core.Reducer;
+import yewdock.logging.EventLog;
 import yewdock.platform.Config;
 import yewdock.platform.ConnectionManager;
 import yewdock.sockets.MinaTransport;
@@ -67,7 +67,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             transport.shutDownGracefully();
             Logger.info("counters at exit:\n{}", counters);
-            shutDownLogger();
+            EventLog.flush();
         }, "leave"));
         configurationFile.setReader(() -> reconfigure(transport, configFile, log));
         if (!configurationFile.handlesSignal()) {
@@ -124,12 +124,4 @@
         }
         return Config.read(Files.readString(Path.of(file)), log);
     }
-
-    private static void shutDownLogger() {
-        try {
-            ProviderRegistry.getLoggingProvider().shutdown();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/src/main/java/yewdock/logging/EventLog.java
+++ b/src/main/java/yewdock/logging/EventLog.java
@@ -4,6 +4,7 @@
 import org.tinylog.Level;
 import org.tinylog.Logger;
 import org.tinylog.ThreadContext;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Structured log lines for operators: the name of an event and its fields. In text format the fields follow
@@ -29,6 +30,15 @@
         TinylogProvider.muteLibraryLogs();
     }
 
+    /** Waits for a short while until all lines are written; to be called before the process is halted. */
+    public static void flush() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Logs an event with alternating field names and values. */
     public static void info(String event, Object... fields) {
         log(Level.INFO, event, LogFields.of(fields));
--- a/src/main/java/yewdock/logging/TinylogProvider.java
+++ b/src/main/java/yewdock/logging/TinylogProvider.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
 import java.util.LinkedHashMap;
@@ -25,7 +25,11 @@
     private static volatile EventLog.LogFormat format = EventLog.LogFormat.TEXT;
     private static final ThreadLocal<Boolean> LIBRARY_LOGS_MUTED = new ThreadLocal<>();
 
-    private final PrintStream out = System.out;
+    /** How long an error waits until it is written: the process may end right behind it. */
+    private static final long ERROR_FLUSH_MILLIS = 200;
+    private static final long SHUTDOWN_FLUSH_MILLIS = 300;
+
+    private final LineWriter writer = new LineWriter(System.out);
     private final Context context = new Context();
     private final TimeZone zone = TimeZone.getDefault();
 
@@ -76,21 +80,22 @@
                 : formatter.format(String.valueOf(message), arguments);
         long now = System.currentTimeMillis();
         if (format == EventLog.LogFormat.JSON) {
-            out.println(json(now, level, text, exception));
-            return;
-        }
-        String line = timeOfDay(now + zone.getOffset(now)) + ' ' + level + ": " + text;
-        if (exception == null) {
-            out.println(line);
-            return;
+            writer.write(json(now, level, text, exception));
+        } else {
+            String line = timeOfDay(now + zone.getOffset(now)) + ' ' + level + ": " + text;
+            writer.write(exception == null ? line : line + '\n' + stackTrace(exception));
         }
-        // lines of other threads must not come between the message and the stack trace
-        synchronized (out) {
-            out.println(line);
-            exception.printStackTrace(out);
+        if (level == Level.ERROR) {
+            writer.flush(ERROR_FLUSH_MILLIS);
         }
     }
 
+    private static String stackTrace(Throwable exception) {
+        StringWriter text = new StringWriter();
+        exception.printStackTrace(new PrintWriter(text, true));
+        return text.toString().stripTrailing();
+    }
+
     @Override
     public void log(String loggerClassName, String tag, Level level, Throwable exception,
             MessageFormatter formatter, Object message, Object... arguments) {
@@ -99,7 +104,7 @@
 
     @Override
     public void shutdown() {
-        out.flush();
+        writer.flush(SHUTDOWN_FLUSH_MILLIS);
     }
 
     /** Formats as HH:mm:ss.SSS without a formatter, because a formatter loads all locales first. */
