--- a/src/test/java/yewdock/faults/SoakRun.java
+++ b/src/test/java/yewdock/faults/SoakRun.java
@@ -21,7 +21,7 @@
 /** One seed of the soak: a router, servers, clients and a series of signals, and what came of it. */
 final class SoakRun {
     private static final int SERVER_COUNT = 4;
-    private static final int CLIENT_COUNT = 30;
+    private static final int CLIENT_COUNT = 40;
     private static final int CROWD_SIZE = 300;
     private static final int SEEDS_PER_CROWD = 3;
     private static final long SERVE_MILLIS = 2_000;
