Tests: one loopback HTTP server under the recording and the soak's server

Cause: SoakServer repeated the accept loop and the reading of requests of RecordingServer. Change: LoopbackHttpServer holds them; both say only how they respond.

--- a/src/test/java/yewdock/faults/RecordingServer.java
+++ b/src/test/java/yewdock/faults/RecordingServer.java
@@ -1,23 +1,16 @@
 package yewdock.faults;
 
-import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /**
  * A simulated model server. It reports each attempt with the arrival time of its first byte, and responds as
  * its {@link ServerBehaviour} says.
  */
-final class RecordingServer implements Closeable {
-    private static final int BACKLOG = 256;
+final class RecordingServer extends LoopbackHttpServer {
     private static final byte[] RESPONSE = ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII);
@@ -57,65 +50,22 @@
     private static final int PARTIAL_HEAD_BYTES = 20;
     private static final long TRICKLE_INTERVAL_MILLIS = 50;
 
-    private final String name;
     private volatile ServerBehaviour behaviour = ServerBehaviour.ANSWERS;
     /** Sent instead of the behaviour's response, unless null. */
     private volatile ScriptedResponse scriptedResponse;
     private final Consumer<Attempt> attemptListener;
-    private final ServerSocket listener;
-    private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
 
     RecordingServer(String name, Consumer<Attempt> attempts) throws IOException {
-        this.name = name;
+        super(name);
         this.attemptListener = attempts;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        startThread(this::acceptConnections);
+        start();
     }
 
-    String name() {
-        return name;
-    }
-
-    String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
-    }
-
-    private void acceptConnections() {
-        while (!listener.isClosed()) {
-            try {
-                Socket socket = listener.accept();
-                socket.setTcpNoDelay(true);
-                openConnections.add(socket);
-                startThread(() -> serve(socket));
-            } catch (IOException e) {
-                // the listener was closed
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = socket.getInputStream();
-            for (int first = in.read(); first >= 0; first = in.read()) {
-                long firstByteNanos = System.nanoTime();
-                String head = ClientTraffic.readHead(in, first);
-                in.readNBytes(ClientTraffic.contentLength(head));
-                attemptListener.accept(new Attempt(name, head, firstByteNanos));
-                if (!respond(socket)) {
-                    return;
-                }
-            }
-        } catch (IOException e) {
-            // the router closed the connection
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            openConnections.remove(socket);
-        }
-    }
-
-    /** Responds to one request as the current behaviour says; returns false to close the connection. */
-    private boolean respond(Socket socket) throws IOException, InterruptedException {
+    /** Responds as the current behaviour says. */
+    @Override
+    boolean respond(Socket socket, String head, long firstByteNanos)
+            throws IOException, InterruptedException {
+        attemptListener.accept(new Attempt(name(), head, firstByteNanos));
         OutputStream out = socket.getOutputStream();
         ScriptedResponse scripted = scriptedResponse;
         if (scripted != null) {
@@ -158,18 +108,4 @@
     void respondWith(ScriptedResponse response) {
         scriptedResponse = response;
     }
-
-    private static void startThread(Runnable work) {
-        Thread thread = new Thread(work, "server");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket socket : openConnections) {
-            socket.close();
-        }
-    }
 }
--- a/src/test/java/yewdock/faults/SoakServer.java
+++ b/src/test/java/yewdock/faults/SoakServer.java
@@ -1,27 +1,20 @@
 package yewdock.faults;
 
-import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /**
  * A model server whose responses are drawn from a seed and the request's id: streams of different lengths,
  * some of them slow, ended early, broken or silent in the middle, and errors.
  */
-final class SoakServer implements Closeable {
+final class SoakServer extends LoopbackHttpServer {
     /** What a server does with one request. */
     enum Response { COMPLETE, ENDED_EARLY, BROKEN, SILENT, ERROR, FULL }
 
-    private static final int BACKLOG = 256;
     private static final int MAX_EVENTS = 12;
     private static final int MAX_EVENTS_OF_LONG_STREAM = 45;
     /** One stream in this many is long. */
@@ -38,63 +31,22 @@
     record Attempt(String requestId, Response response, long receivedNanos) {
     }
 
-    private final String name;
     private final long seed;
     private final Consumer<Attempt> attemptListener;
-    private final ServerSocket listener;
-    private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
 
     SoakServer(String name, long seed, Consumer<Attempt> attemptListener) throws IOException {
-        this.name = name;
+        super(name);
         this.seed = seed;
         this.attemptListener = attemptListener;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        startThread(this::acceptConnections);
+        start();
     }
 
-    String name() {
-        return name;
-    }
-
-    String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
-    }
-
-    private void acceptConnections() {
-        while (!listener.isClosed()) {
-            try {
-                Socket socket = listener.accept();
-                socket.setTcpNoDelay(true);
-                openConnections.add(socket);
-                startThread(() -> serve(socket));
-            } catch (IOException e) {
-                // the listener was closed
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            InputStream in = socket.getInputStream();
-            for (int first = in.read(); first >= 0; first = in.read()) {
-                String head = ClientTraffic.readHead(in, first);
-                in.readNBytes(ClientTraffic.contentLength(head));
-                if (!respond(socket.getOutputStream(), ClientTraffic.headerField(head, "x-correlation-id"))) {
-                    return;
-                }
-            }
-        } catch (IOException e) {
-            // the router closed the connection
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            openConnections.remove(socket);
-        }
-    }
-
-    /** Responds to one request; returns false to close the connection. */
-    private boolean respond(OutputStream out, String requestId) throws IOException, InterruptedException {
-        Random random = new Random(seed * 31 + requestId.hashCode() * 17L + name.hashCode());
+    @Override
+    boolean respond(Socket socket, String head, long firstByteNanos)
+            throws IOException, InterruptedException {
+        OutputStream out = socket.getOutputStream();
+        String requestId = ClientTraffic.headerField(head, "x-correlation-id");
+        Random random = new Random(seed * 31 + requestId.hashCode() * 17L + name().hashCode());
         int draw = random.nextInt(100) / FAULT_PERCENT;
         Response response = draw > 0 && draw < Response.values().length ? Response.values()[draw]
                 : Response.COMPLETE;
@@ -144,18 +96,4 @@
     private static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.US_ASCII));
     }
-
-    private static void startThread(Runnable work) {
-        Thread thread = new Thread(work, "soak-server");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket socket : openConnections) {
-            socket.close();
-        }
-    }
 }
