Log lines of long request ids are short, and the log's queue is limited in characters

Callers saw (on reading the change again): a client may choose an id of 32 KB; 1,000 queued lines of such ids would take 30 MB of the heap. Cause: the logging of this incident wrote ids whole, and LineWriter counted lines. Change: ids are cut to 64 characters in log lines; the queue holds 256 Ki characters. An attempt whose stream was forwarded may have run, also if its server answered before the request's last byte was written. One more case of failed system calls: all connects.

--- a/src/main/java/yewdock/core/Attempt.java
+++ b/src/main/java/yewdock/core/Attempt.java
@@ -42,7 +42,7 @@
     boolean mayHaveRun(Outcome outcome) {
         return switch (outcome) {
             case FULL, CONNECT_FAILED, NOT_SENT -> false;
-            default -> written;
+            default -> written || isWinner();
         };
     }
 
--- a/src/main/java/yewdock/daemon/RequestTransitionLog.java
+++ b/src/main/java/yewdock/daemon/RequestTransitionLog.java
@@ -15,6 +15,8 @@
 final class RequestTransitionLog {
     /** Lines per window; enough to follow a burst without slowing the router down. */
     static final int MAX_LINES_PER_WINDOW = 40;
+    /** Clients choose the ids of their requests, of any length that fits into a head. */
+    static final int MAX_ID_CHARACTERS = 64;
     private static final long WINDOW_MICROS = 1_000_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -62,18 +64,22 @@
         return transition instanceof RequestTransition.Retried ? "request.retried" : "request.closed";
     }
 
+    private static String shortened(String id) {
+        return id.length() <= MAX_ID_CHARACTERS ? id : id.substring(0, MAX_ID_CHARACTERS) + "...";
+    }
+
     private static Map<String, Object> fields(RequestTransition transition) {
         if (transition instanceof RequestTransition.AttemptFailed failed) {
-            return LogFields.of("id", failed.requestId(), "attempt", failed.attempt(), "server",
+            return LogFields.of("id", shortened(failed.requestId()), "attempt", failed.attempt(), "server",
                     failed.server(), "outcome", failed.outcome().name().toLowerCase(Locale.ROOT), "written",
                     failed.written(), "ms", failed.elapsedMicros() / MICROS_PER_MILLI);
         }
         if (transition instanceof RequestTransition.Retried retried) {
-            return LogFields.of("id", retried.requestId(), "attempt", retried.attempt(), "server",
+            return LogFields.of("id", shortened(retried.requestId()), "attempt", retried.attempt(), "server",
                     retried.server());
         }
         RequestTransition.Closed closed = (RequestTransition.Closed) transition;
-        return LogFields.of("id", closed.requestId(), "reason", closed.reason().label(), "streaming",
-                closed.streaming(), "ms", closed.elapsedMicros() / MICROS_PER_MILLI);
+        return LogFields.of("id", shortened(closed.requestId()), "reason", closed.reason().label(),
+                "streaming", closed.streaming(), "ms", closed.elapsedMicros() / MICROS_PER_MILLI);
     }
 }
--- a/src/main/java/yewdock/logging/LineWriter.java
+++ b/src/main/java/yewdock/logging/LineWriter.java
@@ -10,11 +10,12 @@
  * has stopped. Lines that don't fit into the limited queue are dropped, and their number is written instead.
  */
 final class LineWriter {
-    static final int MAX_QUEUED_LINES = 1_000;
+    static final int MAX_QUEUED_CHARACTERS = 256 * 1024;
     private static final long EXIT_FLUSH_MILLIS = 300;
 
     private final PrintStream out;
     private final Deque<String> lines = new ArrayDeque<>();
+    private int queuedCharacters;
     private long dropped;
     private boolean writing;
     private boolean started;
@@ -25,19 +26,24 @@
 
     /** Queues text of one or more lines. */
     synchronized void write(String text) {
-        if (lines.size() >= MAX_QUEUED_LINES) {
+        if (queuedCharacters + text.length() > MAX_QUEUED_CHARACTERS) {
             dropped++;
             return;
         }
         if (dropped > 0) {
-            lines.add("(" + dropped + " log lines were dropped)");
+            add("(" + dropped + " log lines were dropped)");
             dropped = 0;
         }
-        lines.add(text);
+        add(text);
         start();
         notifyAll();
     }
 
+    private void add(String text) {
+        lines.add(text);
+        queuedCharacters += text.length();
+    }
+
     private void start() {
         if (!started) {
             started = true;
@@ -73,7 +79,9 @@
             wait();
         }
         writing = true;
-        return lines.remove();
+        String text = lines.remove();
+        queuedCharacters -= text.length();
+        return text;
     }
 
     /** Waits until everything is written, for this time at most. */
--- a/src/test/java/yewdock/daemon/RequestTransitionLogTest.java
+++ b/src/test/java/yewdock/daemon/RequestTransitionLogTest.java
@@ -28,6 +28,13 @@
                 "request.closed{id=a1, reason=deadline, streaming=false, ms=30}"), lines);
     }
 
+    @Test
+    void shortensLongIds() {
+        log.write(new RequestTransition.Retried("i".repeat(30_000), 1, "s-2"));
+        assertEquals(List.of("request.retried{id=" + "i".repeat(RequestTransitionLog.MAX_ID_CHARACTERS)
+                + "..., attempt=1, server=s-2}"), lines);
+    }
+
     @Test
     void limitsTheLinesOfABurstAndSaysHowManyWereLeftOut() {
         for (int i = 0; i < CLOSED_AT_ONCE; i++) {
--- a/src/test/java/yewdock/faults/SystemCallFaultsTest.java
+++ b/src/test/java/yewdock/faults/SystemCallFaultsTest.java
@@ -1,6 +1,7 @@
 package yewdock.faults;
 
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -18,6 +19,7 @@
     private static final int CLIENT_COUNT = 8;
     private static final int REQUESTS_PER_CLIENT = 12;
     private static final int ALL = CLIENT_COUNT * REQUESTS_PER_CLIENT;
+    private static final long RECOVERY_MILLIS = 2_000;
     private static final int SHORT_TRANSFER_BYTES = 7;
 
     @TempDir
@@ -69,6 +71,22 @@
         }
     }
 
+    /** No connection to any server can be made for a while: afterwards all requests are served again. */
+    @Test
+    void serversAreUsedAgainSoonAfterAllConnectsFailed() throws Exception {
+        FaultShim shim = new FaultShim(folder);
+        try (FaultRig rig = rig(shim)) {
+            shim.fail(Call.CONNECT, Errno.EADDRNOTAVAIL, 1);
+            RequestSequences during = new RequestSequences(CLIENT_COUNT, REQUESTS_PER_CLIENT);
+            during.run(rig);
+            during.assertAllGotResponses(rig);
+            shim.restore(Call.CONNECT);
+            TimeUnit.MILLISECONDS.sleep(RECOVERY_MILLIS);
+            requests.run(rig);
+            requests.assertServed(rig, ALL);
+        }
+    }
+
     @Test
     void interruptedAndShortTransfersLoseNothing() throws Exception {
         FaultShim shim = new FaultShim(folder);
--- a/src/test/java/yewdock/logging/LineWriterTest.java
+++ b/src/test/java/yewdock/logging/LineWriterTest.java
@@ -51,8 +51,10 @@
     void callersDoNotWaitForAReaderThatHasStopped() {
         LineWriter writer = new LineWriter(new PrintStream(new StalledOutput()));
         long startNanos = System.nanoTime();
-        for (int i = 0; i < 3 * LineWriter.MAX_QUEUED_LINES; i++) {
-            writer.write("line " + i);
+        String end = "x".repeat(1_000);
+        int fitting = LineWriter.MAX_QUEUED_CHARACTERS / end.length();
+        for (int i = 0; i < 3 * fitting; i++) {
+            writer.write("line " + i + end);
         }
         writer.flush(100);
         assertTrue(System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(5));
@@ -62,10 +64,10 @@
         writer.write("last");
         writer.flush(FLUSH_MILLIS);
         String[] lines = text().split("\n");
-        assertEquals("line 0", lines[0]);
+        assertEquals("line 0" + end, lines[0]);
         String beforeLast = lines[lines.length - 2];
         assertTrue(beforeLast.matches("\\([0-9]+ log lines were dropped\\)"), beforeLast);
         assertEquals("last", lines[lines.length - 1]);
-        assertTrue(lines.length <= LineWriter.MAX_QUEUED_LINES + 3, lines.length + " lines");
+        assertTrue(lines.length <= fitting + 3, lines.length + " lines");
     }
 }
