Heap of 48 MB; memory of two processes counts the pages of files once; ports stay bound

ShutdownSoakTest: BindException in ScriptedDiscovery. Cause: the first: at 52 MB the two heaps fill to their limits in some runs; and the test added up VmRSS, which counts the pages of libjvm and of the jars, 18.8 MB and the same in both processes, twice. The second: a port was reserved, closed and bound again, and was taken in between; by whom was not found, another test run reserved ports at the time. Change: -Xmx48m. The test adds the anonymous and shared memory of both and the file pages of the larger; its limit stays 192 MB. ListenPorts.listen returns the bound listener, so that there is no gap.

--- a/src/main/java/yewdock/testbed/ListenPorts.java
+++ b/src/main/java/yewdock/testbed/ListenPorts.java
@@ -34,6 +34,18 @@
         throw new BindException("no port from " + FIRST_PORT + " to " + (END_PORT - 1) + " is free");
     }
 
+    /** Returns a listener on such a port, which stays the test's own while it is closed and opened again. */
+    public static ServerSocket listen(int backlog) throws IOException {
+        for (int attempt = FIRST_PORT; attempt < END_PORT; attempt++) {
+            try {
+                return new ServerSocket(reserve(), backlog, InetAddress.getByName("127.0.0.1"));
+            } catch (BindException e) {
+                // another process has taken it since
+            }
+        }
+        throw new BindException("no port from " + FIRST_PORT + " to " + (END_PORT - 1) + " can be bound");
+    }
+
     private static boolean isFree(int port) throws IOException {
         try (ServerSocket listener = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
             return listener.isBound();
--- a/src/test/java/yewdock/ResourceLimitsTest.java
+++ b/src/test/java/yewdock/ResourceLimitsTest.java
@@ -139,7 +139,7 @@
     /** What the limits allow together leaves a fifth of the deploy file's heap at any memory limit. */
     @Test
     void staysWithinTheHeap() {
-        long heap = 52L * MEGABYTE;
+        long heap = 48L * MEGABYTE;
         for (int megabytes = 32; megabytes <= 256; megabytes++) {
             ResourceLimits limits = ResourceLimits.within(1024, megabytes, heap);
             long output = Math.max(limits.maxRequestBytes() / 2,
@@ -154,7 +154,7 @@
     @Test
     void staysWithinDescriptors() {
         for (int descriptors = 256; descriptors <= 1024; descriptors++) {
-            ResourceLimits limits = ResourceLimits.within(descriptors, 160, 52L * MEGABYTE);
+            ResourceLimits limits = ResourceLimits.within(descriptors, 160, 48L * MEGABYTE);
             assertTrue(limits.maxClientConnections() + limits.maxServerConnections() + 64 <= descriptors,
                     limits.toString());
             assertTrue(limits.maxRequests() >= descriptors / 3, limits.toString());
--- a/src/test/java/yewdock/faults/CrowdMemoryTest.java
+++ b/src/test/java/yewdock/faults/CrowdMemoryTest.java
@@ -142,25 +142,33 @@
         }
     }
 
-    private static long residentBytes(ServingProcess router) throws IOException {
+    /** Returns a figure of a process's resident memory in bytes: RssAnon, RssFile or RssShmem. */
+    private static long residentBytes(ServingProcess router, String kind) throws IOException {
         try {
             return Files.readAllLines(Path.of("/proc", Long.toString(router.process().pid()), "status"))
-                    .stream().filter(line -> line.startsWith("VmRSS:"))
+                    .stream().filter(line -> line.startsWith(kind + ":"))
                     .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) << 10).sum();
         } catch (NoSuchFileException e) {
             return 0;
         }
     }
 
+    /** What the processes hold together: the pages of the program's files are the same in both. */
+    private static long residentBytes(List<ServingProcess> routers) throws IOException {
+        long ownBytes = 0;
+        long fileBytes = 0;
+        for (ServingProcess router : routers) {
+            ownBytes += residentBytes(router, "RssAnon") + residentBytes(router, "RssShmem");
+            fileBytes = Math.max(fileBytes, residentBytes(router, "RssFile"));
+        }
+        return ownBytes + fileBytes;
+    }
+
     /** Samples what the processes use together for this time. */
     private void sample(long millis, List<ServingProcess> routers) throws Exception {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (System.nanoTime() < until) {
-            long sum = 0;
-            for (ServingProcess router : routers) {
-                sum += residentBytes(router);
-            }
-            peakBytes.accumulateAndGet(sum, Math::max);
+            peakBytes.accumulateAndGet(residentBytes(routers), Math::max);
             TimeUnit.MILLISECONDS.sleep(SAMPLE_MILLIS);
         }
     }
--- a/src/test/java/yewdock/faults/ScriptedDiscovery.java
+++ b/src/test/java/yewdock/faults/ScriptedDiscovery.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -54,8 +53,8 @@
     ScriptedDiscovery(int router, DrainRuleChecker checker) throws IOException {
         this.router = router;
         this.checker = checker;
-        port = ListenPorts.reserve();
-        listener = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
+        listener = ListenPorts.listen(BACKLOG);
+        port = listener.getLocalPort();
         acceptConnections(listener);
     }
 
