--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -366,6 +366,8 @@
         final Map<String, Long> toldAt = Collections.synchronizedMap(new LinkedHashMap<>());
         /** Whether it takes calls and answers none, as an agent does while discovery is down. */
         volatile boolean silent;
+        /** How long each answer takes longer than that of a prompt service. */
+        volatile long lateMillis;
         /** Runs right after an answer was written, with its body. */
         volatile Consumer<String> written = body -> { };
 
@@ -422,6 +424,7 @@
                     }
                     answer = body(since < 0, since);
                 }
+                Rig.sleep(lateMillis);
                 if (silent) {
                     say("discovery " + port() + " is down, no answer to " + target);
                     while (in.read() >= 0) {
