--- a/review/standins-2/HalfRequests.java
+++ b/review/standins-2/HalfRequests.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -53,7 +55,7 @@
         List<Rig.Sent> asked = Collections.synchronizedList(new ArrayList<>());
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            Thread client = new Thread(() -> asked.add(rig.ask(port, "chat", 2.4, 3.0)));
+            Thread client = new Thread(() -> asked.add(rig.ask(port, "chat", 2.4, SLACK + 0.05)));
             client.start();
             threads.add(client);
             Rig.sleep(500);
--- a/review/standins-2/ReloadInReplacement.java
+++ b/review/standins-2/ReloadInReplacement.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -56,6 +58,8 @@
         Rig.sleep(2000);
         int secondDoor = Rig.freePort();
         if (rig.trouble) {
+            // a second start: the same file but for the seed
+            Rig.replace(config, Rig.config("n1", port, old.port(), old.whole(), 768, ""));
             rig.startRouter("second", config, Map.of("PROXY_OPERATOR", "127.0.0.1:" + secondDoor));
         }
         long started = System.nanoTime();
@@ -122,7 +126,7 @@
     private static String door(int port, String call) {
         try (java.net.Socket socket = new java.net.Socket("127.0.0.1", port)) {
             socket.setSoTimeout(1000);
-            socket.getOutputStream().write((call + "\n").getBytes());
+            socket.getOutputStream().write((call + "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readNBytes(3));
         } catch (IOException e) {
             return "";
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -19,6 +21,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -241,11 +246,16 @@
     /** A list of which a router knows nothing yet. */
     static final String NOTHING_KNOWN = "{\"version\":-1,\"full\":true,\"servers\":[]}";
 
+    /** A seed, new with each start. */
+    static String newSeed() {
+        return String.format("%016x", new Random().nextLong());
+    }
+
     /** A configuration like that of ktm-places, with a number of descriptors. */
     static String config(String name, int listen, int discovery, String known, int descriptors, String operator) {
         return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\"127.0.0.1:"
                 + discovery + "\"," + (operator.isEmpty() ? "" : "\"operator\":\"" + operator + "\",")
-                + "\"seed\":\"92094eb940cf389a\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
+                + "\"seed\":\"" + newSeed() + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
                 + descriptors + "},\"known\":" + known + ",\"settings\":{\"instances\":2,\"ordinal\":0,\"zone\":0,"
                 + "\"discovery\":\"ask\",\"zones\":[\"kathmandu\",\"pokhara\"],"
                 + "\"shapes\":[\"big-gpu\",\"mid-gpu\",\"small-gpu\"],"
@@ -364,6 +374,8 @@
         private long version = 40;
         /** When a state of a server was first written to a router, by "id state". */
         final Map<String, Long> toldAt = Collections.synchronizedMap(new LinkedHashMap<>());
+        volatile String zone = "kathmandu";
+        volatile String kind = "mid-gpu";
         /** Whether it takes calls and answers none, as an agent does while discovery is down. */
         volatile boolean silent;
         /** How long each answer takes longer than that of a prompt service. */
@@ -394,7 +406,7 @@
             for (Entry e : entries.values()) {
                 if (e.version > since && !(full && e.state.equals("removed"))) {
                     text.append(comma).append("{\"id\":\"").append(e.id).append("\",\"addr\":\"").append(e.address)
-                            .append("\",\"zone\":\"kathmandu\",\"kind\":\"mid-gpu\",\"cell\":0,\"state\":\"")
+                            .append("\",\"zone\":\"").append(zone).append("\",\"kind\":\"").append(kind).append("\",\"cell\":0,\"state\":\"")
                             .append(e.state).append("\",\"weight\":1.0,\"started_ms\":").append(e.startedMillis)
                             .append("}");
                     comma = ",";
@@ -459,7 +471,8 @@
         volatile long firstTokenMillis = 60;
         volatile int events = 4;
         volatile long gapMillis = 20;
-        volatile Consumer<Arrived> onRequest = a -> { };
+        /** It closes a connection that has sat idle for so long. */
+        volatile int keepaliveMillis = 5_000;
 
         Worker(String id) throws IOException {
             super(0);
@@ -469,17 +482,26 @@
         @Override
         void serve(Socket connection) throws IOException {
             InputStream in = connection.getInputStream();
+            connection.setSoTimeout(keepaliveMillis);
             for (String head = readHead(in); head != null; head = readHead(in)) {
                 String length = field(head, "Content-Length");
                 in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+                String id = field(head, "X-Correlation-Id");
+                if (id == null || !ids.contains(id)) {
+                    // the page: 404 without an id (probes are not played), 400 for an id that no client sent
+                    say("worker " + this.id + " got a request of nobody's: " + head);
+                    connection.getOutputStream().write(("HTTP/1.1 " + (id == null ? "404 Not Found" : "400 Bad Request")
+                            + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                    continue;
+                }
                 String left = field(head, "X-Time-Left");
                 Arrived request = new Arrived(id, field(head, "X-Correlation-Id"), System.nanoTime(),
                         left == null ? Double.NaN : Double.parseDouble(left));
                 arrived.add(request);
-                onRequest.accept(request);
                 say("worker " + id + " got " + request.id + ", told " + left + " s");
                 if (hangs) {
                     // takes requests and answers none, until the router ends the connection
+                    connection.setSoTimeout(0);
                     if (in.read() < 0) {
                         return;
                     }
@@ -508,7 +530,10 @@
 
     // ---- clients
 
+    static volatile String account = "kathmandu-metro";
     private final AtomicInteger lastRequest = new AtomicInteger();
+    /** The ids that clients of this case have used. */
+    private final Set<String> ids = ConcurrentHashMap.newKeySet();
 
     /** What became of a request: a status, 0 for a close without any answer, -1 for nothing in time. */
     static final class Sent {
@@ -534,14 +559,16 @@
         String body = "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":40,\"messages\":[{\"role\":\"user\",\"content\":\""
                 + "word ".repeat(80) + "\"}]}";
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: " + id
-                + "\r\nX-Service-Class: " + requestClass + "\r\nX-Account: kathmandu-metro\r\nX-Session-Key: " + session
+                + "\r\nX-Service-Class: " + requestClass + "\r\nX-Account: " + account + "\r\nX-Session-Key: " + session
                 + "\r\nX-Time-Left: " + String.format(Locale.ROOT, "%.3f", timeLeft)
                 + "\r\nX-Facts: prompt_len=100,prefix_len=0,max_out=40\r\nContent-Length: " + body.length()
                 + "\r\n\r\n" + body;
     }
 
     String newId() {
-        return String.format("%016x", 0x5be2a07c00000000L + lastRequest.incrementAndGet());
+        String id = String.format("%016x", 0x5be2a07c00000000L + lastRequest.incrementAndGet());
+        ids.add(id);
+        return id;
     }
 
     /** Sends a request over a new connection and waits for its answer, so long past its time. */
--- a/review/standins-2/SilentAgent.java
+++ b/review/standins-2/SilentAgent.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,9 +25,13 @@
 
     private static int run(Rig rig) throws Exception {
         Rig.Discovery agent = rig.new Discovery();
+        agent.zone = "istanbul";
+        agent.kind = "standard";
+        Rig.account = "kent-birligi";
         List<Rig.Worker> workers = new ArrayList<>();
         for (int i = 0; i < 9; i++) {
             Rig.Worker worker = rig.new Worker("s-5be2a0" + i);
+            worker.keepaliveMillis = 30_000;
             workers.add(worker);
             agent.put(worker.id, worker.address(), "up");
         }
@@ -95,10 +101,10 @@
 
     private static String config(int port, Rig.Discovery agent, String known) {
         return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + agent.address()
-                + "\",\"seed\":\"92094eb940cf389a\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":768},\"known\":"
+                + "\",\"seed\":\"" + Rig.newSeed() + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":768},\"known\":"
                 + known + ",\"settings\":{\"instances\":3,\"ordinal\":0,\"zone\":0,\"discovery\":\"push\","
-                + "\"zones\":[\"kathmandu\",\"pokhara\",\"izmir\"],\"shapes\":[\"fast\",\"mid-gpu\",\"slow\"],"
-                + "\"orgs\":[{\"name\":\"kathmandu-metro\",\"quota_rps\":70.0,\"share\":1.0}],\"over_share_worth\":0.2,"
+                + "\"zones\":[\"istanbul\",\"ankara\",\"izmir\"],\"shapes\":[\"fast\",\"standard\",\"slow\"],"
+                + "\"orgs\":[{\"name\":\"kent-birligi\",\"quota_rps\":70.0,\"share\":1.0}],\"over_share_worth\":0.2,"
                 + "\"worth_by\":\"work\",\"workload\":\"llm\",\"classes\":[{\"name\":\"guide\",\"effect\":\"retryable\","
                 + "\"group\":\"all\",\"window\":5.0,\"aim\":1.0,\"give_up\":5.0,\"stream\":true,\"late_worth\":0.3,"
                 + "\"worth\":1}],\"limits\":{\"max_attempts\":4,\"cancelling\":true,\"connect_timeout\":0.25,"
--- a/review/standins-2/SlowDiscovery.java
+++ b/review/standins-2/SlowDiscovery.java
@@ -1,3 +1,5 @@
+package review2;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
