--- a/review/standins-2/KilledWhileTold.java
+++ b/review/standins-2/KilledWhileTold.java
@@ -17,6 +17,8 @@
     private static final double GRACE = 1.0;
     private static final double SLACK = 0.15;
     private static final int KILLS = 12;
+    /** By then the router has read what was written to it. */
+    private static final long KILL_AFTER_MILLIS = 5;
 
     private KilledWhileTold() {
     }
@@ -75,6 +77,7 @@
             discovery.written = answer -> {
                 if (answer.contains("\"" + drained.id + "\"") && answer.contains("\"draining\"")
                         && told.compareAndSet(null, System.nanoTime()) && rig.trouble) {
+                    Rig.sleep(KILL_AFTER_MILLIS);
                     doomed.forEach(ProcessHandle::destroyForcibly);
                 }
             };
--- a/review/standins-2/SilentAgent.java
+++ b/review/standins-2/SilentAgent.java
@@ -32,6 +32,7 @@
         for (int i = 0; i < 9; i++) {
             Rig.Worker worker = rig.new Worker("s-5be2a0" + i);
             worker.keepaliveMillis = 30_000;
+            worker.probeReport = "qps=4.0,eps=0.0,queue=0";
             workers.add(worker);
             agent.put(worker.id, worker.address(), "up");
         }
