A discovery service that takes over 2.1 s to answer is heard

Cause: a call without a wait was given up after 2.1 s and its connection closed, and so was the next one. Of late long polls one stayed open, and the next late call closed it. So no answer was read.

Change: where discovery is polled, unanswered calls stay open beside the next ones, three at most; the first answer counts, later ones are read for newer versions. After an answer over 2.1 s late, calls without a wait start every 2.1 s until one is answered in time. The calls are kept by platform.DiscoveryCalls, which leaves ConnectionManager. On related paths: a newer list of another router no longer ends a call that is open for it, and calls from before a pause of the process are cancelled, since their answer proves nothing.

Why it works: a change is in the answer to the first call after it, which starts 2.1 s later at most and is always read, so it is known in time if answers take up to 4.6 s.

--- a/src/main/java/yewdock/core/DiscoveryWatch.java
+++ b/src/main/java/yewdock/core/DiscoveryWatch.java
@@ -40,6 +40,12 @@
      * many routers that do so would keep the service busy for ever and none would get an answer.
      */
     private static final long CALL_TIMEOUT_MICROS = 2_100_000;
+    /**
+     * Time in microseconds from the start of a call to that of the next one while the service takes longer
+     * than that timeout to answer. A change is in the answer to the first call after it, so it is received in
+     * time as long as an answer takes no longer than what this leaves of the time until it counts as known.
+     */
+    private static final long SLOW_CALL_INTERVAL_MICROS = CALL_TIMEOUT_MICROS;
     private static final int TENTHS = 10;
     /**
      * Unanswered calls in a row after which the next call is made at once; after that the module decides
@@ -92,10 +98,14 @@
     private long calledAt;
     /** Whether a call is in flight. */
     private boolean inFlight;
+    /** Whether the last call was a long poll. */
+    private boolean longPollOpen;
     /** Whether the module waits for an answer. */
     private boolean moduleWaits;
     private int failures;
     private int unansweredCalls;
+    /** Whether the last answer came later than the timeout of its call. */
+    private boolean serviceSlow;
     /** Whether the call after a pause of the process is in flight. */
     private boolean catchingUp;
     private long lastChangeAt = -SERIES_GAP_MICROS;
@@ -147,6 +157,7 @@
         versions.startAt(EndpointListVersions.NONE);
         failures = 0;
         unansweredCalls = 0;
+        serviceSlow = false;
         restartCall();
     }
 
@@ -166,6 +177,8 @@
         if (pausedMicros >= longPauseMicros()) {
             counters.add("list.resumed");
             catchingUp = true;
+            // an answer to a call from before the pause may not contain a change during it
+            effects.accept(new Effect.CancelDiscoveryCallsAside());
             restartCall();
         }
     }
@@ -187,12 +200,20 @@
     }
 
     /**
-     * Another router has a newer list: the current call should have delivered it, so it is given up as
-     * broken.
+     * Another router has a newer list: a long poll should have delivered it, so its connection may be broken,
+     * and another call is made at once. A call without a wait is awaited: a slow service would never be heard
+     * if each version of the list, known to another router, ended it.
      */
     void listOutdated() {
         counters.add("list.behind");
-        restartCall();
+        if (settings.discoveryByAgent()) {
+            restartCall();
+        } else if (!inFlight) {
+            callDiscovery(0);
+        } else if (longPollOpen) {
+            effects.accept(new Effect.SetDiscoveryCallAside());
+            callDiscovery(0);
+        }
     }
 
     /** Whether an agent on this machine holds the list. */
@@ -239,6 +260,7 @@
 
     private void callDiscovery(long pollMicros, long timeoutMicros) {
         inFlight = true;
+        longPollOpen = pollMicros > 0;
         long number = ++callNumber;
         calledAt = now.getAsLong();
         counters.add("list.calls");
@@ -253,12 +275,13 @@
     /**
      * Handles a call that got no answer in time: its connection is broken or the service is late, and changes
      * it should have delivered count as known soon. Where discovery is polled, the call is repeated at once,
-     * and only a service that stays silent is left to the module's backoff. A long poll stays open beside the
-     * new call: a service with more callers than capacity may answer it late and refuse the new one.
+     * and only a service that stays silent is left to the module's backoff. The unanswered call stays open
+     * beside the new one: a service that takes longer than the timeout over each call would otherwise never
+     * be heard, and one with more callers than capacity may answer it late and refuse the new one.
      */
     private void callUnanswered(boolean longPoll) {
-        boolean mayComeLate = longPoll && !settings.discoveryByAgent();
-        effects.accept(mayComeLate ? new Effect.SetDiscoveryCallAside() : new Effect.CancelDiscoveryCall());
+        effects.accept(settings.discoveryByAgent() ? new Effect.CancelDiscoveryCall()
+                : new Effect.SetDiscoveryCallAside());
         if (!settings.discoveryByAgent() && unansweredCalls < MAX_IMMEDIATE_REPEATS) {
             unansweredCalls++;
             counters.add("list.silent");
@@ -268,6 +291,17 @@
         }
     }
 
+    /**
+     * Records how long after the end of its wait a call was answered, also of one that was set aside and
+     * answered after another.
+     */
+    void answerDelayed(long delayMicros) {
+        serviceSlow = !settings.discoveryByAgent() && delayMicros > CALL_TIMEOUT_MICROS;
+        if (serviceSlow) {
+            counters.add("list.slow_answers");
+        }
+    }
+
     /** Makes a call after a delay, unless another one has been made by then. */
     private void callLater(long delayMicros, long pollMicros) {
         long lastNumber = callNumber;
@@ -330,6 +364,10 @@
         long pollMicros = settings.discoveryByAgent() ? gracePart() : list.servers().isEmpty()
                 ? LONG_POLL_MICROS
                 : LONG_POLL_MICROS - (long) (Mixing.uniform(now.getAsLong()) * SPREAD_MICROS);
+        if (serviceSlow) {
+            callLater(Math.max(0, calledAt + SLOW_CALL_INTERVAL_MICROS - now.getAsLong()), 0);
+            return changed;
+        }
         boolean series = !list.servers().isEmpty() && now.getAsLong() - lastChangeAt < SERIES_GAP_MICROS;
         lastChangeAt = list.servers().isEmpty() ? lastChangeAt : now.getAsLong();
         if (series && !settings.discoveryByAgent()) {
--- a/src/main/java/yewdock/core/Effect.java
+++ b/src/main/java/yewdock/core/Effect.java
@@ -53,16 +53,20 @@
     }
 
     /**
-     * Leave the discovery call open beside the next one. The connection of whichever call is answered first
-     * stays in use. A call that was set aside earlier is cancelled.
+     * Leave the discovery call open beside the next ones. The connection of whichever call is answered first
+     * stays in use. Only the newest calls stay open; older ones that were set aside are cancelled.
      */
     record SetDiscoveryCallAside() implements Effect {
     }
 
-    /** Cancel the current discovery call, but not the one that was set aside. */
+    /** Cancel the current discovery call, but not those that were set aside. */
     record CancelDiscoveryCall() implements Effect {
     }
 
+    /** Cancel the discovery calls that were set aside. */
+    record CancelDiscoveryCallsAside() implements Effect {
+    }
+
     /**
      * Close the connection of a client without an open request; a partly received request is answered with a
      * timeout.
--- a/src/main/java/yewdock/core/Event.java
+++ b/src/main/java/yewdock/core/Event.java
@@ -84,8 +84,15 @@
             Routing.LoadReport loadReport) implements Event {
     }
 
-    /** The discovery service has answered with an endpoint list. */
-    record EndpointListReceived(EndpointList list) implements Event {
+    /**
+     * The discovery service has answered with an endpoint list, {@code delayMicros} after the call or, where
+     * the call was a long poll, after the end of its wait; 0 for an answer within the wait.
+     */
+    record EndpointListReceived(EndpointList list, long delayMicros) implements Event {
+        /** An answer without delay. */
+        public EndpointListReceived(EndpointList list) {
+            this(list, 0);
+        }
     }
 
     /**
@@ -95,8 +102,11 @@
     record DiscoveryConnectionLost() implements Event {
     }
 
-    /** A discovery call that was set aside has been answered, after the call that was made in its place. */
-    record LateEndpointListReceived(EndpointList list) implements Event {
+    /**
+     * A discovery call that was set aside has been answered, after a call that was made in its place; the
+     * delay is that of {@link EndpointListReceived}.
+     */
+    record LateEndpointListReceived(EndpointList list, long delayMicros) implements Event {
     }
 
     /** A discovery call has failed. */
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -210,8 +210,10 @@
                 run(new ReducerContext.Step(0, task));
             }
         } else if (event instanceof Event.EndpointListReceived e) {
+            watch.answerDelayed(e.delayMicros());
             listReceived(e.list());
         } else if (event instanceof Event.LateEndpointListReceived e) {
+            watch.answerDelayed(e.delayMicros());
             lateListReceived(e.list());
         } else if (event instanceof Event.DiscoveryConnectionLost) {
             watch.connectionLost();
--- a/src/main/java/yewdock/platform/ConnectionManager.java
+++ b/src/main/java/yewdock/platform/ConnectionManager.java
@@ -41,11 +41,7 @@
     private Consumer<Effect> operatorAnswers = effect -> { };
     private final Map<Long, ClientConnectionHandler> clientConnections = new LinkedHashMap<>();
     private final Map<Long, ServerConnectionHandler> serverConnections = new HashMap<>();
-    private DiscoveryConnectionHandler discovery;
-    /** A connection whose poll was late and was repeated on another one; the one answered first is kept. */
-    private DiscoveryConnectionHandler supersededDiscovery;
-    /** Whether a poll has been answered since that connection was superseded. */
-    private boolean answeredSinceSuperseded;
+    private final DiscoveryCalls discoveryCalls;
     private final Deque<Event> pendingEvents = new ArrayDeque<>();
     private boolean dispatching;
     private boolean stopRequested;
@@ -66,6 +62,7 @@
             counters.add("list.unusable_entries");
             log.accept(line);
         }, startTimes);
+        this.discoveryCalls = new DiscoveryCalls(transport, listReader, clock, counters, log, this::dispatch);
         this.config = config;
         this.inputMemory = new InputMemory(config.bounds().maxInputBytes());
         this.clock = clock;
@@ -151,8 +148,7 @@
             stopRequested = false;
             if (reducer.isHandedOver()) {
                 // changes that discovery reported from now on would reach no generation
-                closeDiscovery();
-                closeSupersededDiscovery();
+                discoveryCalls.closeAll();
             }
             transport.stop();
         }
@@ -203,11 +199,13 @@
         } else if (effect instanceof Effect.Fail e) {
             withClient(e.client(), ClientConnectionHandler::fail);
         } else if (effect instanceof Effect.CallDiscovery e) {
-            pollDiscovery(e);
+            discoveryCalls.call(e);
         } else if (effect instanceof Effect.CancelDiscoveryCall) {
-            closeDiscovery();
+            discoveryCalls.cancelCurrent();
+        } else if (effect instanceof Effect.CancelDiscoveryCallsAside) {
+            discoveryCalls.cancelCallsAside();
         } else if (effect instanceof Effect.SetDiscoveryCallAside) {
-            supersedePoll();
+            discoveryCalls.setCurrentAside();
         } else if (effect instanceof Effect.CloseClient e) {
             withClient(e.client(), ClientConnectionHandler::closeOrTimeOut);
         } else if (effect instanceof Effect.RejectDuplicate e) {
@@ -236,92 +234,6 @@
         }
     }
 
-    private void pollDiscovery(Effect.CallDiscovery e) {
-        if (discovery != null && !discovery.isTo(e.address())) {
-            // between polls, the connection to the previous discovery address is still open
-            closeDiscovery();
-        }
-        if (supersededDiscovery != null && !supersededDiscovery.isTo(e.address())) {
-            closeSupersededDiscovery();
-        }
-        if (discovery == null) {
-            discovery = transport.connectToDiscovery(e.address(),
-                    connection -> new DiscoveryConnectionHandler(this, listReader, e.address(), connection));
-        }
-        discovery.poll(e.sinceVersion(), e.maxWaitMicros());
-    }
-
-    private void supersedePoll() {
-        closeSupersededDiscovery();
-        supersededDiscovery = discovery;
-        discovery = null;
-        answeredSinceSuperseded = false;
-    }
-
-    private void closeDiscovery() {
-        if (discovery != null) {
-            discovery.close();
-            discovery = null;
-        }
-    }
-
-    private void closeSupersededDiscovery() {
-        if (supersededDiscovery != null) {
-            supersededDiscovery.close();
-            supersededDiscovery = null;
-        }
-    }
-
-    /**
-     * Handles a response to a poll. Of two concurrent polls, the connection of the one answered first is
-     * kept. The other one's response is still read: discovery counts what it has written as delivered.
-     */
-    void listReceived(DiscoveryConnectionHandler handler, EndpointList response) {
-        if (handler != supersededDiscovery) {
-            answeredSinceSuperseded = true;
-            dispatch(new Event.EndpointListReceived(response));
-        } else if (answeredSinceSuperseded) {
-            closeSupersededDiscovery();
-            dispatch(new Event.LateEndpointListReceived(response));
-        } else {
-            counters.add("list.late_answers");
-            if (discovery != null && !discovery.isRequestOpen()) {
-                closeDiscovery();
-            }
-            supersededDiscovery = discovery;
-            discovery = handler;
-            answeredSinceSuperseded = true;
-            dispatch(new Event.EndpointListReceived(response));
-        }
-    }
-
-    /** The same for a response that ends its connection: the next poll needs a new one. */
-    void lastListReceived(DiscoveryConnectionHandler handler, EndpointList response) {
-        boolean late = handler == supersededDiscovery && answeredSinceSuperseded;
-        discoveryClosed(handler);
-        if (handler == supersededDiscovery) {
-            supersededDiscovery = null;
-        }
-        answeredSinceSuperseded = true;
-        dispatch(late ? new Event.LateEndpointListReceived(response)
-                : new Event.EndpointListReceived(response));
-    }
-
-    /** Handles a failed poll; if it was superseded, another one is open or will be. */
-    void pollFailed(DiscoveryConnectionHandler handler) {
-        if (handler == supersededDiscovery) {
-            closeSupersededDiscovery();
-        } else {
-            dispatch(new Event.DiscoveryCallFailed());
-        }
-    }
-
-    void discoveryClosed(DiscoveryConnectionHandler handler) {
-        if (discovery == handler) {
-            discovery = null;
-        }
-    }
-
     void clientClosed(long id) {
         clientConnections.remove(id);
         dispatch(new Event.ClientDisconnected(id));
--- a/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
+++ b/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
@@ -5,19 +5,18 @@
 import java.nio.charset.StandardCharsets;
 import org.json.JSONException;
 import yewdock.core.EndpointList;
-import yewdock.core.Event;
 import yewdock.http.BadMessageException;
 import yewdock.http.MessageHead;
 import yewdock.http.MessageReader;
 
-/** A discovery connection: polls for the endpoint list, one request at a time. */
+/** A discovery connection: calls for the endpoint list, one call at a time. */
 final class DiscoveryConnectionHandler implements ConnectionHandler, MessageReader.Sink {
     private static final int MAX_LIST_BYTES = 4 << 20;
     /** Longest list in values: each takes some hundred bytes when it is parsed. */
     private static final int MAX_LIST_VALUES = 128 * 1024;
     private static final int OK = 200;
 
-    private final ConnectionManager manager;
+    private final DiscoveryCalls calls;
     private final EndpointListReader listReader;
     private final String host;
     private final Connection connection;
@@ -28,12 +27,15 @@
     private MessageHead head;
     private String pendingRequest;
     private boolean connected;
-    private boolean requestOpen;
+    private boolean callOpen;
+    private long calledAt;
+    /** Length of the open call's long poll in microseconds. */
+    private long maxWaitMicros;
     private boolean closed;
 
-    DiscoveryConnectionHandler(ConnectionManager manager, EndpointListReader listReader, String host,
+    DiscoveryConnectionHandler(DiscoveryCalls calls, EndpointListReader listReader, String host,
             Connection connection) {
-        this.manager = manager;
+        this.calls = calls;
         this.listReader = listReader;
         this.host = host;
         this.connection = connection;
@@ -44,16 +46,18 @@
         return host.equals(address);
     }
 
-    /** Whether a request has not been answered yet. */
-    boolean isRequestOpen() {
-        return requestOpen;
+    /** Whether a call has not been answered yet. */
+    boolean isCallOpen() {
+        return callOpen;
     }
 
-    /** Polls for changes after this version, or for the whole list if it is negative. */
-    void poll(long sinceVersion, long waitMicros) {
+    /** Asks for changes after this version, or for the whole list if it is negative. */
+    void call(long sinceVersion, long waitMicros) {
         String query = sinceVersion < 0 ? "" : "?since=" + sinceVersion + "&timeout_ms=" + waitMicros / 1000;
         pendingRequest = "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
-        requestOpen = true;
+        callOpen = true;
+        calledAt = calls.now();
+        maxWaitMicros = sinceVersion < 0 ? 0 : waitMicros;
         writeIfConnected();
     }
 
@@ -74,7 +78,7 @@
     public void onReceived(ByteBuffer bytes) {
         try {
             while (bytes.hasRemaining() && !closed) {
-                if (!requestOpen) {
+                if (!callOpen) {
                     throw new BadMessageException(502, "unexpected response: no request is open");
                 }
                 reader.read(bytes);
@@ -84,34 +88,39 @@
                 }
             }
         } catch (BadMessageException | JSONException e) {
-            manager.log("the box list's answer is malformed: " + e.getMessage());
+            calls.log("the box list's answer is malformed: " + e.getMessage());
             connection.close();
         }
     }
 
     private void responseComplete() {
         if (head.status() != OK) {
-            requestOpen = false;
+            callOpen = false;
             closeUnlessKeptAlive();
-            manager.pollFailed(this);
+            calls.failed(this);
             return;
         }
         EndpointList list = listReader.read(body.toString(StandardCharsets.UTF_8));
         clearBody();
-        requestOpen = false;
+        callOpen = false;
         if (head.keepsAlive()) {
-            manager.listReceived(this, list);
+            calls.answered(this, list, delayMicros());
         } else {
             closed = true;
             connection.close();
-            manager.lastListReceived(this, list);
+            calls.answeredAndClosed(this, list, delayMicros());
         }
     }
 
+    /** Returns how long the call has taken, beyond the wait that it asked for. */
+    private long delayMicros() {
+        return Math.max(0, calls.now() - calledAt - maxWaitMicros);
+    }
+
     private void closeUnlessKeptAlive() {
         if (!head.keepsAlive()) {
             closed = true;
-            manager.discoveryClosed(this);
+            calls.connectionClosed(this);
             connection.close();
         }
     }
@@ -124,7 +133,7 @@
         try {
             return listReader.read(body.toString(StandardCharsets.UTF_8));
         } catch (JSONException e) {
-            manager.log("the box list's answer is malformed: " + e.getMessage());
+            calls.log("the box list's answer is malformed: " + e.getMessage());
             return null;
         }
     }
@@ -183,15 +192,14 @@
         closed = true;
         EndpointList lastList = listAtEndOfConnection();
         if (lastList == null) {
-            manager.discoveryClosed(this);
-            manager.dispatch(new Event.DiscoveryConnectionLost());
-            if (requestOpen) {
-                manager.pollFailed(this);
+            calls.connectionLost(this);
+            if (callOpen) {
+                calls.failed(this);
             }
-        } else if (requestOpen) {
-            manager.lastListReceived(this, lastList);
+        } else if (callOpen) {
+            calls.answeredAndClosed(this, lastList, delayMicros());
         } else {
-            manager.discoveryClosed(this);
+            calls.connectionClosed(this);
         }
     }
 }
