Slow agents and very slow discovery services are heard, too

Change: unanswered calls at an agent stay open as well; of too many open calls the newest is cancelled, and the oldest only after 10 s without an answer.

Tests: SlowDiscoveryTest.verySlowDiscoveryIsHeardAtLast failed before ("push ... answers after 2000 ms are not received") and passes.

--- a/src/main/java/yewdock/core/DiscoveryWatch.java
+++ b/src/main/java/yewdock/core/DiscoveryWatch.java
@@ -274,14 +274,13 @@
 
     /**
      * Handles a call that got no answer in time: its connection is broken or the service is late, and changes
-     * it should have delivered count as known soon. Where discovery is polled, the call is repeated at once,
-     * and only a service that stays silent is left to the module's backoff. The unanswered call stays open
-     * beside the new one: a service that takes longer than the timeout over each call would otherwise never
-     * be heard, and one with more callers than capacity may answer it late and refuse the new one.
+     * it should have delivered count as known soon. The call stays open beside the next one: a service or an
+     * agent that takes longer than the timeout over each call would otherwise never be heard, and a service
+     * with more callers than capacity may answer it late and refuse the new one. Where discovery is polled,
+     * the call is repeated at once, and only a service that stays silent is left to the module's backoff.
      */
     private void callUnanswered(boolean longPoll) {
-        effects.accept(settings.discoveryByAgent() ? new Effect.CancelDiscoveryCall()
-                : new Effect.SetDiscoveryCallAside());
+        effects.accept(new Effect.SetDiscoveryCallAside());
         if (!settings.discoveryByAgent() && unansweredCalls < MAX_IMMEDIATE_REPEATS) {
             unansweredCalls++;
             counters.add("list.silent");
--- a/src/main/java/yewdock/core/Effect.java
+++ b/src/main/java/yewdock/core/Effect.java
@@ -54,7 +54,7 @@
 
     /**
      * Leave the discovery call open beside the next ones. The connection of whichever call is answered first
-     * stays in use. Only the newest calls stay open; older ones that were set aside are cancelled.
+     * stays in use. Only some of the calls that were set aside stay open.
      */
     record SetDiscoveryCallAside() implements Effect {
     }
--- a/src/main/java/yewdock/platform/DiscoveryCalls.java
+++ b/src/main/java/yewdock/platform/DiscoveryCalls.java
@@ -17,11 +17,10 @@
  * it, since a slow service still answers them. Each call has a connection of its own.
  */
 final class DiscoveryCalls {
-    /**
-     * Calls that stay open beside the current one. A service that answers within four intervals between calls
-     * is heard.
-     */
+    /** Calls that stay open beside the current one. */
     private static final int MAX_CALLS_ASIDE = 3;
+    /** Age in microseconds from which a call without an answer may be cancelled for a newer one. */
+    private static final long MAX_AGE_MICROS = 10_000_000;
 
     /** A call that was set aside. */
     private static final class CallAside {
@@ -69,13 +68,20 @@
         current.call(call.sinceVersion(), call.maxWaitMicros());
     }
 
-    /** Leaves the current call open beside the next one; of too many such calls the oldest is cancelled. */
+    /**
+     * Leaves the current call open beside the next one. If there are too many such calls, the newest one is
+     * cancelled, since a service that is slower than the calls follow each other answers the oldest one next;
+     * but an oldest one without an answer for long has a broken connection.
+     */
     void setCurrentAside() {
         if (current == null) {
             return;
         }
         if (callsAside.size() >= MAX_CALLS_ASIDE) {
-            callsAside.poll().connection.close();
+            long oldestCalledAt = callsAside.peek().connection.calledAt();
+            boolean oldestBroken = clock.getAsLong() - oldestCalledAt >= MAX_AGE_MICROS;
+            CallAside dropped = oldestBroken ? callsAside.poll() : callsAside.pollLast();
+            dropped.connection.close();
         }
         callsAside.add(new CallAside(current));
         current = null;
--- a/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
+++ b/src/main/java/yewdock/platform/DiscoveryConnectionHandler.java
@@ -51,6 +51,11 @@
         return callOpen;
     }
 
+    /** When the last call was made, in microseconds. */
+    long calledAt() {
+        return calledAt;
+    }
+
     /** Asks for changes after this version, or for the whole list if it is negative. */
     void call(long sinceVersion, long waitMicros) {
         String query = sinceVersion < 0 ? "" : "?since=" + sinceVersion + "&timeout_ms=" + waitMicros / 1000;
--- a/src/test/java/yewdock/SlowDiscoveryTest.java
+++ b/src/test/java/yewdock/SlowDiscoveryTest.java
@@ -59,9 +59,14 @@
         private int maxOpenCalls;
 
         Rig(Behaviour behaviour, long latency, long seed) throws IOException {
+            this(behaviour, latency, seed, "ask");
+        }
+
+        Rig(Behaviour behaviour, long latency, long seed, String discovery) throws IOException {
             this.behaviour = behaviour;
             this.latency = latency;
-            String text = Files.readString(RecordedExchange.FOLDER.resolve("config.json"));
+            String text = Files.readString(RecordedExchange.FOLDER.resolve("config.json"))
+                    .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + discovery + "\"");
             Config config = Config.read(text, line -> { });
             Counters counters = new Counters();
             reducer = new Reducer(CoreSettings.of(config.settings(), config.keepaliveMicros()),
@@ -268,6 +273,24 @@
         }
     }
 
+    /** Answers that take longer than a drain may are still received, at whatever pace calls are repeated. */
+    @Test
+    void verySlowDiscoveryIsHeardAtLast() throws IOException {
+        for (String discovery : List.of("ask", "push")) {
+            for (Behaviour behaviour : Behaviour.values()) {
+                for (long latency : List.of(SECOND * 2 / 5, 2 * SECOND, 5 * SECOND, 8 * SECOND)) {
+                    Rig rig = new Rig(behaviour, latency, latency, discovery);
+                    rig.pass(20 * SECOND);
+                    rig.drained = true;
+                    rig.pass(3 * latency + SECOND);
+                    assertTrue(rig.knowsDrain(), discovery + ", " + behaviour + ": answers after "
+                            + latency / 1000 + " ms are not received");
+                    assertTrue(rig.maxOpenCalls <= MAX_OPEN_CALLS, "open calls: " + rig.maxOpenCalls);
+                }
+            }
+        }
+    }
+
     /** A slow service costs few calls, and once it is prompt again the router returns to long polls. */
     @Test
     void callRateIsBounded() throws IOException {
