A new process sends nothing before its agent has confirmed the endpoint list

What callers saw: a router was killed, its agent got a drain, discovery went down, and the router was started again.

Cause: after a second of the agent's silence the list that the process was started with was taken for good.

Excluded: an answer without the drain; the first answer after the outage has it, and nothing was sent after it.

Change: core.AgentConfirmation lets attempts start only once the agent has answered. Requests are held for 1 s and then refused; /ready waits for the answer, 8 s at most. A process that replaces another uses the list if the agent confirmed it to that one (new field list_confirmed of what generations exchange; an older process does not send it). The same for two related paths: an agent that falls silent while the process stands still, and one that is silent at the address that SIGHUP gave (4 s later).

Why it works: no path to a server is left while a list is unconfirmed, as while the lease has run out; the check is the same one.

AgentDiscoveryTest.newProcessUsesKnownListIfAgentIsSilent asked for the fault and is replaced by newProcessSendsNothingBeforeAgentAnswers, which checks the same moments, and later ones, for the opposite.

--- a/src/main/java/yewdock/core/Attempts.java
+++ b/src/main/java/yewdock/core/Attempts.java
@@ -54,9 +54,9 @@
         }
     }
 
-    /** Whether the server is known, takes work and this router isn't in doubt. */
+    /** Whether the server is known and takes work, and attempts may be started. */
     private boolean isUsable(ModelServer server) {
-        return server != null && server.takesWork() && !context.inDoubt();
+        return server != null && server.takesWork() && context.mayStartAttempts();
     }
 
     private void start(Attempt attempt) {
@@ -213,7 +213,7 @@
         connection.established = true;
         ModelServer server = servers.get(connection.server.id());
         // The server may have begun to drain, moved or been replaced while the connection was opened.
-        if (!connection.reaches(server) || context.inDoubt()) {
+        if (!connection.reaches(server) || !context.mayStartAttempts()) {
             close(connection.attempt, Outcome.NOT_SENT);
         } else {
             sendOver(connection, connection.attempt);
--- a/src/main/java/yewdock/core/CloseReason.java
+++ b/src/main/java/yewdock/core/CloseReason.java
@@ -10,6 +10,8 @@
     REFUSED_AT_LIMIT,
     /** The lease on the agreed rules had run out. */
     REFUSED_WITHOUT_LEASE,
+    /** The agent had not confirmed the endpoint list. */
+    REFUSED_LIST_UNCONFIRMED,
     /** The process that owns the request ids did not answer the claim for this id. */
     REFUSED_UNCLAIMED,
     /** The request came so late in a shutdown that the process may be killed before its response ends. */
--- a/src/main/java/yewdock/core/DiscoveryWatch.java
+++ b/src/main/java/yewdock/core/DiscoveryWatch.java
@@ -221,6 +221,11 @@
         return settings.discoveryByAgent();
     }
 
+    /** Whether an agent holds the list and has answered the last call that ended. */
+    boolean agentAnswers() {
+        return settings.discoveryByAgent() && failures == 0;
+    }
+
     String address() {
         return address;
     }
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -19,16 +19,10 @@
  * client connections and {@link OtherGenerations} the state shared with other generations.
  */
 public final class Reducer {
-    /**
-     * Where a local agent holds the endpoint list, its contents bind the router from the start of the
-     * process. The list that the process was started with may be outdated, so it is used only once the agent
-     * has been silent for this many microseconds.
-     */
-    static final long AGENT_TIMEOUT_MICROS = 1_000_000;
-
     private final ReducerContext context;
     private final ClientConnections clients;
     private final DiscoveryWatch watch;
+    private final AgentConfirmation agentConfirmation;
     private final OtherGenerations otherGenerations;
     private final KnownServers servers;
     private final ServerConnections connections;
@@ -37,8 +31,6 @@
     private final ResponseStreams responses;
     private final OperatorCommandHandler commands;
     private final Shutdown shutdown;
-    /** The module has not been given any server yet, because the agent has not answered. */
-    private boolean awaitingAgent;
     private boolean handedOver;
     private OlderGeneration olderGeneration = OlderGeneration.NONE;
     /** Endpoint lists are sent on to the other processes, one of which stores them. */
@@ -57,6 +49,7 @@
                 counters, context::emit);
         this.watch = new DiscoveryWatch(settings, context::now, context.timers(), counters, context::emit,
                 this::discoveryCallFailed);
+        this.agentConfirmation = new AgentConfirmation(context);
         this.otherGenerations = new OtherGenerations(context::now, context.timers(), counters, context::emit,
                 new Admission());
         this.connections = new ServerConnections(context, limits.maxServerConnections(),
@@ -113,8 +106,9 @@
         if (context.inDoubt()) {
             return "in doubt about what is agreed";
         }
-        if (awaitingAgent) {
-            return "the agent that has the box list has not answered";
+        if (agentConfirmation.isFirstAnswerAwaited()) {
+            return agentConfirmation.delaysReadiness() ? "the agent that has the box list has not answered"
+                    : "";
         }
         return servers.all().stream().anyMatch(ModelServer::takesWork) ? "" : "no model box takes work";
     }
@@ -170,7 +164,11 @@
         ids.addAll(otherGenerations.claimedIds());
         return new GenerationState(ids, openRequests.recentIds(), Attempts.inFlight(openRequests.all()),
                 new EndpointList(watch.version(), true, servers.listed()), watch.address(),
-                servers.stateSince());
+                isListConfirmed(), servers.stateSince());
+    }
+
+    private boolean isListConfirmed() {
+        return !agentConfirmation.isFirstAnswerAwaited() && !context.isListUnconfirmed();
     }
 
     private void dispatch(Event event) {
@@ -222,7 +220,7 @@
         } else if (event instanceof Event.Started e) {
             started(e);
         } else if (event instanceof Event.DiscoveryAddressChanged e) {
-            watch.moveTo(e.address());
+            discoveryMoved(e.address());
         } else if (event instanceof Event.GenerationMessageReceived e) {
             messageReceived(e.generation(), e.message());
         } else if (event instanceof Event.HandoverStarted) {
@@ -245,7 +243,7 @@
         } else if (event instanceof Event.LeaseGranted e) {
             context.extendLease(e.untilMicros(), e.retryAfterMicros());
         } else if (event instanceof Event.ProcessResumed e) {
-            watch.processResumed(e.pausedMicros());
+            processResumed(e.pausedMicros());
         } else if (event instanceof Event.EndpointListOutdated) {
             watch.listOutdated();
         } else if (event instanceof Event.OverrideChanged e) {
@@ -362,6 +360,9 @@
         } else if (context.inDoubt()) {
             context.count("answers.refused_in_doubt");
             refuseDirectly(event, context.retryAfterMicros(), CloseReason.REFUSED_WITHOUT_LEASE);
+        } else if (context.isListUnconfirmed()) {
+            context.count("answers.refused_list_unconfirmed");
+            refuseDirectly(event, 0, CloseReason.REFUSED_LIST_UNCONFIRMED);
         } else if (shutdown.refusesRequests()) {
             context.count("answers.refused_leaving");
             refuseDirectly(event, 0, CloseReason.REFUSED_AT_SHUTDOWN);
@@ -387,23 +388,36 @@
         watch.start(event.discoveryAddress(), endpointList.version());
         servers.apply(endpointList);
         context.callModule(0, m -> m.started(context.now()));
-        awaitingAgent = watch.byAgent();
-        if (awaitingAgent) {
-            context.runAt(context.now() + AGENT_TIMEOUT_MICROS, this::useKnownServers);
+        if (watch.byAgent()) {
+            agentConfirmation.awaitFirstAnswer();
         } else {
             context.callModule(0, m -> m.listReceived(context.now(), ListKind.CACHED,
                     serverStates(servers.withOverrides(endpointList))));
         }
     }
 
-    /** From now on the module is told of the known servers. */
-    private void useKnownServers() {
-        if (awaitingAgent) {
-            awaitingAgent = false;
+    /** The agent has confirmed the known servers: from its first answer on the module is told of them. */
+    private void listConfirmed() {
+        if (agentConfirmation.confirmed()) {
             reportKnownServers();
         }
     }
 
+    private void discoveryMoved(String address) {
+        if (watch.byAgent() && !address.equals(watch.address())) {
+            agentConfirmation.awaitMovedAgent();
+        }
+        watch.moveTo(address);
+    }
+
+    private void processResumed(long pausedMicros) {
+        boolean agentAnswered = watch.agentAnswers();
+        watch.processResumed(pausedMicros);
+        if (agentAnswered && watch.catchingUp()) {
+            agentConfirmation.awaitAnswerAfterPause();
+        }
+    }
+
     private void listReceived(EndpointList list) {
         if (watch.follows(list)) {
             applyList(list);
@@ -440,7 +454,7 @@
         }
         servers.apply(newList);
         connections.closeUnusableIdle();
-        useKnownServers();
+        listConfirmed();
     }
 
     private void reportList(EndpointList list) {
@@ -464,7 +478,7 @@
      */
     private void reportKnownServers() {
         connections.closeUnusableIdle();
-        if (awaitingAgent) {
+        if (agentConfirmation.isFirstAnswerAwaited()) {
             return;
         }
         EndpointList all = new EndpointList(watch.version(), true, List.copyOf(servers.all()));
@@ -544,6 +558,10 @@
                     sent.server()));
         }
         applyRelayedList(state.endpointList(), state.discoveryAddress());
+        if (state.listConfirmed() && state.discoveryAddress().equals(watch.address())) {
+            // the other generation has received what the agent held when it fell silent
+            listConfirmed();
+        }
     }
 
     /**
--- a/src/main/java/yewdock/core/ReducerContext.java
+++ b/src/main/java/yewdock/core/ReducerContext.java
@@ -27,6 +27,8 @@
     /** The lease's end in microseconds. Without consensus there is no lease to lose. */
     private long leasedUntilMicros = Long.MAX_VALUE;
     private long retryAfterMicros;
+    /** The time in microseconds from which the endpoint list may not be used any more. */
+    private long listUsableUntilMicros = Long.MAX_VALUE;
 
     ReducerContext(Counters counters) {
         this.counters = counters;
@@ -51,6 +53,25 @@
         return now >= leasedUntilMicros;
     }
 
+    /** Sets the time until which the endpoint list may be used. */
+    void limitListUse(long untilMicros) {
+        listUsableUntilMicros = untilMicros;
+    }
+
+    long listUsableUntil() {
+        return listUsableUntilMicros;
+    }
+
+    /** Whether the endpoint list may not be used, so that no server may be sent to. */
+    boolean isListUnconfirmed() {
+        return now >= listUsableUntilMicros;
+    }
+
+    /** Whether attempts may be started: the agreed rules and the endpoint list are certain enough. */
+    boolean mayStartAttempts() {
+        return !inDoubt() && !isListUnconfirmed();
+    }
+
     /** Returns the retry delay in microseconds for a client that is refused in doubt; 0 gives none. */
     long retryAfterMicros() {
         return retryAfterMicros;
--- a/src/main/java/yewdock/daemon/StateCodec.java
+++ b/src/main/java/yewdock/daemon/StateCodec.java
@@ -135,6 +135,7 @@
     /** Encodes what a generation holds: open request ids, attempts in flight and the endpoint list. */
     static Sharing encodeGenerationState(GenerationState generation) {
         Sharing.Builder encoded = Sharing.newBuilder().addAllIds(generation.requestIds())
+                .setListConfirmed(generation.listConfirmed())
                 .addAllRecentIds(generation.recentIds())
                 .setBoxes(encodeEndpointList(generation.endpointList(), generation.discoveryAddress(),
                         generation.toldAt()));
@@ -150,7 +151,7 @@
                 attempts.add(new GenerationMessage.AttemptSent(o.getToken(), o.getBox())));
         return new GenerationState(encoded.getIdsList(), encoded.getRecentIdsList(), attempts,
                 decodeEndpointList(encoded.getBoxes()),
-                encoded.getBoxes().getAddress(), Map.of());
+                encoded.getBoxes().getAddress(), encoded.getListConfirmed(), Map.of());
     }
 
     /** Encodes a message to other generations. */
--- a/src/test/java/yewdock/AgentDiscoveryTest.java
+++ b/src/test/java/yewdock/AgentDiscoveryTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import umberspread.Routing;
 import umberspread.Routing.Lifecycle;
@@ -16,6 +17,7 @@
 import yewdock.core.Effect;
 import yewdock.core.EndpointList;
 import yewdock.core.Event;
+import yewdock.core.GenerationState;
 import yewdock.core.ModelRequest;
 import yewdock.core.ModelServer;
 import yewdock.core.Reducer;
@@ -154,15 +156,104 @@
         assertEquals("CACHED [1:DRAINING, 2:READY]", reports.get(0));
     }
 
+    /**
+     * Guards against a new process that sends by the list it was started with: the agent may hold a drain and
+     * be silent. The process is ready after 8 s, and refuses requests until the agent answers.
+     */
     @Test
-    void newProcessUsesKnownListIfAgentIsSilent() {
+    void newProcessSendsNothingBeforeAgentAnswers() {
+        EndpointList known = agent.list;
+        drainFirstServer();
         agent.silent = true;
-        start();
-        pass(990_000);
+        handle(new Event.Started(known, "127.0.0.1:8500"));
+        pass(1_000_000);
+        assertEquals(List.of(new Effect.Refuse(1, 0)), answersTo(1));
+        pass(6_900_000);
         assertFalse(reducer.notReadyReason().isEmpty());
-        pass(20_000);
+        pass(200_000);
+        assertEquals("", reducer.notReadyReason());
+        assertEquals(List.of(new Effect.Refuse(2, 0)), answersTo(2));
+        assertEquals(2, counters.get("requests.closed.refused_list_unconfirmed"));
+        pass(60_000_000);
+        assertEquals(List.of(), reports, "the known list was used");
+        agent.silent = false;
+        pass(GRACE / 2);
+        assertEquals("CACHED [1:DRAINING, 2:READY]", reports.get(0));
         assertEquals("", reducer.notReadyReason());
-        assertEquals(List.of("CACHED [1:READY]"), reports);
+        assertEquals(List.of(), answersTo(3), "refused although the agent has answered");
+    }
+
+    /** Sends a request and returns the answers to it, of those without a server. */
+    private List<Effect> answersTo(long client) {
+        handle(new Event.ClientConnected(client));
+        return handle(new Event.RequestReceived(client,
+                new ModelRequest("r" + client, 0, 0, false, 1, 1, 1, 0, 9, 900_000, 100))).stream()
+                .filter(effect -> effect instanceof Effect.Refuse || effect instanceof Effect.Fail).toList();
+    }
+
+    private static GenerationState stateOfOlderProcess(EndpointList list, boolean confirmed) {
+        return new GenerationState(List.of(), List.of(), List.of(), list, "127.0.0.1:8500", confirmed,
+                Map.of());
+    }
+
+    /** A process that replaces another while the agent is silent may use what the agent told that one. */
+    @Test
+    void newProcessUsesListThatAgentConfirmedToOlderProcess() {
+        agent.silent = true;
+        start();
+        pass(500_000);
+        drainFirstServer();
+        handle(new Event.GenerationStateReceived(1, stateOfOlderProcess(agent.list, false)));
+        assertEquals(List.of(), reports, "the older process has not heard the agent either");
+        handle(new Event.GenerationStateReceived(1, stateOfOlderProcess(agent.list, true)));
+        assertEquals(List.of("CACHED [1:DRAINING]"), reports);
+        assertTrue(reducer.generationState().listConfirmed());
+    }
+
+    /** What an agent at a new address holds counts as known 4 s later, also if that agent is silent. */
+    @Test
+    void silentAgentAtNewAddressStopsSendingAfterFourSeconds() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        handle(new Event.DiscoveryAddressChanged("127.0.0.1:8501"));
+        pass(3_900_000);
+        assertEquals(List.of(), answersTo(1));
+        pass(200_000);
+        assertEquals(List.of(new Effect.Refuse(2, 0)), answersTo(2));
+        agent.silent = false;
+        pass(GRACE / 2);
+        assertEquals(List.of(), answersTo(3), "refused although the agent has answered");
+    }
+
+    /** The agent may have learned of a drain during a pause of the process, and have fallen silent since. */
+    @Test
+    void nothingIsSentAfterPauseBeforeAgentAnswers() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        now += 2_000_000;
+        handle(new Event.ProcessResumed(2_000_000));
+        pass(1_000_000);
+        assertFalse(reducer.isCatchingUp());
+        assertEquals(List.of(new Effect.Refuse(1, 0)), answersTo(1));
+        agent.silent = false;
+        pass(GRACE / 2);
+        assertEquals(List.of(), answersTo(2), "refused although the agent has answered");
+    }
+
+    /** While an agent that has answered is silent, it learns of no change: the router serves on. */
+    @Test
+    void requestsAreServedWhileAgentIsSilent() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        pass(60_000_000);
+        assertEquals(List.of(), answersTo(1));
+        now += 2_000_000;
+        handle(new Event.ProcessResumed(2_000_000));
+        pass(1_000_000);
+        assertEquals(List.of(), answersTo(2), "refused after a pause, though the agent was silent before it");
     }
 
     /**
--- a/src/test/java/yewdock/daemon/StateCodecTest.java
+++ b/src/test/java/yewdock/daemon/StateCodecTest.java
@@ -31,7 +31,7 @@
             List.of(new LearnedState.LearnedKey(42, 3.5, 4, 0)), List.of(11.0));
     private static final GenerationState GENERATION = new GenerationState(List.of("x", "y"), List.of("z"),
             List.of(new GenerationMessage.AttemptSent(3, 7)),
-            listStartedAt(123), "127.0.0.1:8500", Map.of(7L, 2_000L));
+            listStartedAt(123), "127.0.0.1:8500", true, Map.of(7L, 2_000L));
 
     private static EndpointList listStartedAt(long startedAt) {
         return new EndpointList(41, true, List.of(new ModelServer("s-7", "127.0.0.1:9001",
@@ -62,6 +62,8 @@
                 StateCodec.decodeGenerationState(StateCodec.encodeGenerationState(GENERATION)).recentIds());
         assertEquals(GENERATION.attemptsInFlight(), StateCodec.decodeGenerationState(
                 StateCodec.encodeGenerationState(GENERATION)).attemptsInFlight());
+        assertTrue(StateCodec.decodeGenerationState(
+                StateCodec.encodeGenerationState(GENERATION)).listConfirmed());
     }
 
     @Test
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -26,6 +26,10 @@
     private static final int SERVER_COUNT = 4;
     /** The 6 s after which a router counts as notified, the grace, and 1 s to observe further attempts. */
     private static final long OBSERVATION_MILLIS = 7_500;
+    /** How long an agent is silent. */
+    private static final long SILENCE_MILLIS = 4_000;
+    /** Time after SIGHUP from which the contents of another agent count as known. */
+    private static final long NEW_AGENT_KNOWN_AFTER_MILLIS = 4_000;
 
     @TempDir
     private Path folder;
@@ -67,6 +71,64 @@
         }
     }
 
+    /**
+     * An agent learns of a drain while its router is down, and is silent when the router starts again. Guards
+     * against a new process that sends by the list it was started with because its agent does not answer.
+     */
+    @Test
+    void aRestartedRouterWaitsForItsSilentAgent() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT)) {
+            sleep(1_500);
+            rig.killRouter(0);
+            rig.setStateEverywhere(0, EndpointState.DRAINING);
+            rig.discovery(0).setSilent(true);
+            rig.startKilledRouter(0);
+            sleep(SILENCE_MILLIS);
+            rig.discovery(0).setSilent(false);
+            sleep(1_500);
+            assertDrainsKept(rig);
+        }
+    }
+
+    /** The same for a router that was paused, and did not receive the drain before its agent fell silent. */
+    @Test
+    void aPausedRouterWaitsForItsSilentAgent() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT)) {
+            sleep(1_500);
+            rig.signalAll("STOP");
+            sleep(100);
+            rig.setStateEverywhere(0, EndpointState.DRAINING);
+            rig.discovery(0).setSilent(true);
+            sleep(GRACE_MILLIS + 500);
+            rig.signalAll("CONT");
+            sleep(SILENCE_MILLIS);
+            rig.discovery(0).setSilent(false);
+            sleep(1_500);
+            assertDrainsKept(rig);
+        }
+    }
+
+    /** The same for a router that is told of another agent, which is silent: its list counts 4 s later. */
+    @Test
+    void aRouterWithANewAgentWaitsForItWhileItIsSilent() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT);
+                ScriptedDiscovery newAgent = new ScriptedDiscovery(0, rig.checker())) {
+            sleep(1_500);
+            for (int i = 0; i < SERVER_COUNT; i++) {
+                newAgent.setState(rig.server(i).name(), rig.server(i).address(), EndpointState.UP);
+            }
+            newAgent.setSilent(true);
+            Files.writeString(rig.router(0).configurationFile(), rig.configuration(newAgent.address(), 1));
+            rig.router(0).signal("HUP");
+            sleep(NEW_AGENT_KNOWN_AFTER_MILLIS);
+            newAgent.setState(rig.server(0).name(), rig.server(0).address(), EndpointState.DRAINING);
+            sleep(SILENCE_MILLIS);
+            newAgent.setSilent(false);
+            sleep(1_500);
+            assertDrainsKept(rig);
+        }
+    }
+
     /** Discovery restarts and counts versions from 1, lower than the version that the router has. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/src/test/java/yewdock/faults/FaultRig.java
+++ b/src/test/java/yewdock/faults/FaultRig.java
@@ -124,8 +124,18 @@
 
     /** Kills a router's process and starts it again with an endpoint list that is older than all changes. */
     void restartRouter(int router) throws Exception {
+        killRouter(router);
+        startKilledRouter(router);
+    }
+
+    /** Kills a router's process. */
+    void killRouter(int router) {
         traffic.get(router).close();
         routers.get(router).close();
+    }
+
+    /** Starts a router that was killed, with an endpoint list that is older than all changes. */
+    void startKilledRouter(int router) throws Exception {
         checker.routerRestarted(router, true);
         routers.set(router, startRouter(router, INITIAL_LIST_VERSION));
         traffic.set(router, new ClientTraffic(router, routers.get(router).port(), CLIENTS_PER_ROUTER));
--- a/src/test/java/yewdock/faults/ScriptedDiscovery.java
+++ b/src/test/java/yewdock/faults/ScriptedDiscovery.java
@@ -49,6 +49,7 @@
     /** What the next call is answered with instead of the list; null if nothing. */
     private String staleResponse;
     private volatile long callDelayMillis;
+    private volatile boolean silent;
 
     ScriptedDiscovery(int router, DrainRuleChecker checker) throws IOException {
         this.router = router;
@@ -90,6 +91,11 @@
         callDelayMillis = millis;
     }
 
+    /** Sets whether the service accepts calls and answers none, until it is no longer silent. */
+    void setSilent(boolean newSilent) {
+        silent = newSilent;
+    }
+
     /** Resets all open connections, and so the watches on them. */
     void resetOpenWatches() {
         openConnections.forEach(ScriptedDiscovery::reset);
@@ -184,7 +190,7 @@
     private synchronized void writeList(Socket socket, long sinceVersion, long deadlineNanos)
             throws IOException {
         for (long remainingNanos = deadlineNanos - System.nanoTime();
-                staleResponse == null && version <= sinceVersion && remainingNanos > 0;
+                silent || staleResponse == null && version <= sinceVersion && remainingNanos > 0;
                 remainingNanos = deadlineNanos - System.nanoTime()) {
             awaitChange(Math.max(1, Math.min(remainingNanos / 1_000_000, 50)));
         }
