Deployment simulation: the fault LIST_UNHEARD withholds changes, not answers

The fault let every discovery call fail, and was detected on deployments with pushed lists only, by a router that served by the list of its start. Such a router now sends nothing until its agent answers, so the fault showed nothing, and DeploymentSimulationTest.detectsEachInjectedFault failed. The calls are now answered without the changes: the router counts as told of a drain that it does not get, with pushed and with polled lists. The test is unchanged and passes.

--- a/src/main/java/yewdock/verification/DeploymentSimulation.java
+++ b/src/main/java/yewdock/verification/DeploymentSimulation.java
@@ -30,9 +30,9 @@
  */
 public final class DeploymentSimulation {
     /**
-     * Faults injected between the router and its environment, each of which the checks must detect: endpoint
-     * lists that the router does not get, requests that stay in flight after their connection closed,
-     * responses that end twice, timers one second late, and chunks of another connection's stream.
+     * Faults injected between the router and its environment, each of which the checks must detect: changes
+     * to the endpoint list that the router does not get, requests that stay in flight after their connection
+     * closed, responses that end twice, timers one second late, and chunks of another connection's stream.
      */
     public enum InjectedFault { NONE, LIST_UNHEARD, CLOSES_LATE, ANSWERS_TWICE, TICKS_LATE, STREAMS_MIXED }
 
@@ -539,13 +539,13 @@
             return;
         }
         openDiscoveryCall = null;
-        if (fault == InjectedFault.LIST_UNHEARD) {
-            dispatch(new Event.DiscoveryCallFailed());
-            return;
-        }
         if (deployment.settings().pullsEndpointList()) {
             recordDrainsTold(listVersion);
         }
+        if (fault == InjectedFault.LIST_UNHEARD) {
+            dispatch(new Event.EndpointListReceived(new EndpointList(listVersion, false, List.of())));
+            return;
+        }
         dispatch(new Event.EndpointListReceived(new EndpointList(listVersion, call.sinceVersion() < 0,
                 endpointEntries(Math.max(0, call.sinceVersion())))));
     }
