Unfinished requests make room for others, and waiting for an accept counts

Causes: a connection with part of a request was never closed for another one in its 2.5 s, so no permit was left and the acceptor stopped; and the timeout of a request counted from the reading of its bytes, not from its arrival in the accept queue.

--- a/src/main/java/yewdock/core/Effect.java
+++ b/src/main/java/yewdock/core/Effect.java
@@ -74,6 +74,10 @@
     record CloseClient(long client) implements Effect {
     }
 
+    /** Refuse a partly received request and close its client's connection; retrying it is harmless. */
+    record RefusePartialRequest(long client) implements Effect {
+    }
+
     /** Reject a request whose id belongs to an open request; the open request is not affected. */
     record RejectDuplicate(long client) implements Effect {
     }
--- a/src/main/java/yewdock/platform/ClientConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ClientConnectionHandler.java
@@ -148,10 +148,14 @@
             dropUnreadInput();
         } else if (!closing) {
             manager.counters().add("clients.input_discarded");
-            reject(503, "no room for another request");
+            rejectForRoom();
         }
     }
 
+    private void rejectForRoom() {
+        reject(503, "no room for another request");
+    }
+
     private void readRequests() {
         if (readingRequests) {
             return;
@@ -232,6 +236,15 @@
         }
     }
 
+    /** Refuses a partly received request, whose connection another client needs. */
+    void refusePartialRequest() {
+        if (closing || reader.atMessageStart()) {
+            closeOrTimeOut();
+        } else {
+            rejectForRoom();
+        }
+    }
+
     @Override
     public void head(MessageHead read) {
         head = read;
--- a/src/main/java/yewdock/platform/ConnectionManager.java
+++ b/src/main/java/yewdock/platform/ConnectionManager.java
@@ -208,6 +208,8 @@
             discoveryCalls.setCurrentAside();
         } else if (effect instanceof Effect.CloseClient e) {
             withClient(e.client(), ClientConnectionHandler::closeOrTimeOut);
+        } else if (effect instanceof Effect.RefusePartialRequest e) {
+            withClient(e.client(), ClientConnectionHandler::refusePartialRequest);
         } else if (effect instanceof Effect.RejectDuplicate e) {
             withClient(e.client(), ClientConnectionHandler::rejectDuplicate);
         } else if (effect instanceof Effect.CloseIdleClients) {
--- a/src/main/java/yewdock/sockets/AcceptedSessions.java
+++ b/src/main/java/yewdock/sockets/AcceptedSessions.java
@@ -1,6 +1,7 @@
 package yewdock.sockets;
 
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
@@ -11,13 +12,15 @@
 class AcceptedSessions extends IoHandlerAdapter {
     private final SessionEvents events;
     private final ConnectionLimit limit;
+    private final LongSupplier clock;
     private final Supplier<MinaConnection> makeConnection;
     private final Function<Connection, ConnectionHandler> makeHandler;
 
-    AcceptedSessions(SessionEvents events, ConnectionLimit limit, Supplier<MinaConnection> makeConnection,
-            Function<Connection, ConnectionHandler> makeHandler) {
+    AcceptedSessions(SessionEvents events, ConnectionLimit limit, LongSupplier clock,
+            Supplier<MinaConnection> makeConnection, Function<Connection, ConnectionHandler> makeHandler) {
         this.events = events;
         this.limit = limit;
+        this.clock = clock;
         this.makeConnection = makeConnection;
         this.makeHandler = makeHandler;
     }
@@ -26,6 +29,7 @@
     public void sessionCreated(IoSession session) {
         MinaConnection connection = makeConnection.get();
         connection.attachTo(session);
+        connection.acceptedFromQueue(BoundedAcceptor.connectedSince(session), clock.getAsLong());
         session.getCloseFuture().addListener(closed -> limit.release());
         connection.postAccepted(makeHandler);
     }
--- a/src/main/java/yewdock/sockets/BoundedAcceptor.java
+++ b/src/main/java/yewdock/sockets/BoundedAcceptor.java
@@ -8,14 +8,24 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.mina.core.future.IoFuture;
 import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.tinylog.Logger;
 
-/** Accepts connections up to a limit; more of them wait in the kernel's accept queue. */
+/**
+ * Accepts connections up to a limit; more of them wait in the kernel's accept queue. Each session carries the
+ * earliest time at which it may have come into that queue.
+ */
 final class BoundedAcceptor extends NioSocketAcceptor {
     private static final int BACKLOG = 512;
+    /** The earliest time at which the session's connection may have been made, in microseconds. */
+    private static final AttributeKey CONNECTED_SINCE =
+            new AttributeKey(BoundedAcceptor.class, "connectedSince");
     /** Pause after a failed accept; the connection stays in the queue, and descriptors may be freed. */
     private static final long RETRY_MILLIS = 5;
     /** How often accepting may fail while the queue of a listener that closes is emptied. */
@@ -25,22 +35,27 @@
     private final IoProcessor<NioSession> processor;
     private final ConnectionLimit limit;
     private final LingeringClose lingering;
+    private final LongSupplier clock;
+    private final AcceptQueueTimes queueTimes = new AcceptQueueTimes(BACKLOG);
     /** Whether other processes may listen on the same address (SO_REUSEPORT), each with its own queue. */
     private volatile boolean sharesAddress;
     // set in init(), which the superclass's constructor calls: an initializer here would overwrite it
     private CapturingSelectorProvider selectorProvider;
     private volatile ServerSocketChannel externalListener;
     private volatile boolean lastAcceptFailed;
+    /** The earliest time at which the last accepted connection may have been made. */
+    private long lastConnectedSince;
     /** Failed accepts since the last line about them, and when that was written. */
     private int failures;
     private long failureLoggedNanos = System.nanoTime() - LOG_INTERVAL_NANOS;
 
     BoundedAcceptor(Executor executor, IoProcessor<NioSession> processor, ConnectionLimit limit,
-            LingeringClose lingering) {
+            LingeringClose lingering, LongSupplier clock) {
         super(executor, processor);
         this.processor = processor;
         this.limit = limit;
         this.lingering = lingering;
+        this.clock = clock;
         setReuseAddress(true);
         setBacklog(BACKLOG);
     }
@@ -93,6 +108,23 @@
         return externalListener;
     }
 
+    /** Returns the earliest time at which an accepted session's connection may have been made. */
+    static long connectedSince(IoSession session) {
+        return (Long) session.getAttribute(CONNECTED_SINCE);
+    }
+
+    /** Waits for connections; the queue is empty up to the end of the wait, if there is one. */
+    @Override
+    protected int select() throws Exception {
+        int ready = selectorProvider.lastOpened().selectNow();
+        if (ready > 0) {
+            return ready;
+        }
+        ready = super.select();
+        queueTimes.queueEmptyUntil(clock.getAsLong());
+        return ready;
+    }
+
     /** Only deregisters an external listener: closing it would also close standard output's descriptors. */
     @Override
     protected void close(ServerSocketChannel listener) throws Exception {
@@ -139,6 +171,9 @@
         try {
             // null if another process has accepted the connection first
             session = super.accept(sessionProcessor, listener);
+            if (session != null) {
+                lastConnectedSince = queueTimes.accepted(clock.getAsLong());
+            }
         } catch (IOException e) {
             lastAcceptFailed = true;
             logFailure(e);
@@ -151,6 +186,12 @@
         return session;
     }
 
+    /** Called after each accept, on the same thread: a session has no attributes before. */
+    @Override
+    protected void finishSessionInitialization0(IoSession session, IoFuture future) {
+        session.setAttribute(CONNECTED_SINCE, lastConnectedSince);
+    }
+
     private void logFailure(IOException failure) {
         long nowNanos = System.nanoTime();
         failures++;
--- a/src/main/java/yewdock/sockets/MinaConnection.java
+++ b/src/main/java/yewdock/sockets/MinaConnection.java
@@ -21,6 +21,9 @@
 final class MinaConnection implements Connection {
     private static final AttributeKey CONNECTION = new AttributeKey(MinaConnection.class, "connection");
 
+    /** Time after a connection was accepted in which what had arrived before is read. */
+    private static final long READ_AFTER_ACCEPT_MICROS = 100_000;
+
     private final ConnectionPurpose purpose;
     private final TaskQueue queue;
     private final LingeringClose lingering;
@@ -39,6 +42,9 @@
     private int droppedBytes;
     /** How many messages have been read that the handler has not received yet. */
     private final AtomicInteger undelivered = new AtomicInteger();
+    /** When an accepted connection may have been made at the earliest, until its first bytes are read. */
+    private long connectedSince = Long.MAX_VALUE;
+    private long acceptedAt;
 
     MinaConnection(ConnectionPurpose purpose, TaskQueue queue, LingeringClose lingering,
             LongSupplier taskStartedAt) {
@@ -108,6 +114,23 @@
         }
     }
 
+    /** The connection was accepted now, and may have been made as early as the given time in microseconds. */
+    void acceptedFromQueue(long since, long now) {
+        connectedSince = since;
+        acceptedAt = now;
+    }
+
+    /**
+     * Returns the earliest time at which bytes that are read now may have arrived, in microseconds: the first
+     * ones, if they are read soon after their connection was accepted, may have waited with it. Called on
+     * MINA's thread.
+     */
+    long waitedSince(long now) {
+        long since = now - acceptedAt <= READ_AFTER_ACCEPT_MICROS ? Math.min(connectedSince, now) : now;
+        connectedSince = Long.MAX_VALUE;
+        return since;
+    }
+
     /** Counts a message that has been read and not been passed to the handler. */
     void countUndelivered() {
         undelivered.incrementAndGet();
--- a/src/main/java/yewdock/sockets/MinaTransport.java
+++ b/src/main/java/yewdock/sockets/MinaTransport.java
@@ -33,7 +33,7 @@
      * Clients that may be accepted above the reducer's limit, while it closes others; more of them wait.
      * Without this limit the process could run out of descriptors, and accepting would fail.
      */
-    private static final int MAX_CLOSING_CLIENTS = 24;
+    static final int MAX_CLOSING_CLIENTS = 24;
     /** Bytes that may be queued before reading stops: MINA reads faster than the dispatcher handles them. */
     private static final int MAX_QUEUED_BYTES = 4 << 20;
     private static final int MAX_QUEUED_DISCOVERY_BYTES = 1 << 20;
@@ -90,7 +90,7 @@
         loop = new DispatcherLoop(queue, processor, clock, event -> manager.dispatch(event),
                 timeouts::expire);
         events = new SessionEvents(processor, lingering, queueSpace, discoverySpace, clock, loop::arrival);
-        acceptor = acceptor(new AcceptedSessions(events, clientLimit,
+        acceptor = acceptor(new AcceptedSessions(events, clientLimit, clock,
                 () -> newConnection(ConnectionPurpose.CLIENT), connection -> manager.accept(connection)),
                 clientLimit);
         connector = new NioSocketConnector(executor, processor);
@@ -101,7 +101,8 @@
 
     /** Makes an acceptor of these sessions, up to the limit. */
     private BoundedAcceptor acceptor(AcceptedSessions sessions, ConnectionLimit limit) {
-        BoundedAcceptor newAcceptor = new BoundedAcceptor(executor, processor, limit, lingering);
+        BoundedAcceptor newAcceptor = new BoundedAcceptor(executor, processor, limit, lingering,
+                clock);
         newAcceptor.setHandler(sessions);
         configure(newAcceptor.getSessionConfig());
         return newAcceptor;
@@ -156,7 +157,7 @@
     public void listenForOperators(String address, int maxConnections, int idleSeconds,
             Function<Connection, ConnectionHandler> makeHandler) throws IOException {
         ConnectionLimit limit = new ConnectionLimit(maxConnections);
-        BoundedAcceptor operatorAcceptor = acceptor(new AcceptedSessions(events, limit,
+        BoundedAcceptor operatorAcceptor = acceptor(new AcceptedSessions(events, limit, clock,
                 () -> newConnection(ConnectionPurpose.OPERATOR), makeHandler) {
             @Override
             public void sessionCreated(IoSession session) {
--- a/src/main/java/yewdock/sockets/SessionEvents.java
+++ b/src/main/java/yewdock/sockets/SessionEvents.java
@@ -83,7 +83,9 @@
         connection.countUndelivered();
         Semaphore space = connection.purpose() == ConnectionPurpose.DISCOVERY ? discoverySpace : queueSpace;
         space.acquireUninterruptibly(size);
-        connection.postMessage(handler -> handler.onReceived(bytes, arrival.apply(readAt)),
+        long waitedSince = connection.waitedSince(readAt);
+        connection.postMessage(
+                handler -> handler.onReceived(bytes, arrival.apply(readAt).orAsEarlyAs(waitedSince)),
                 () -> space.release(size));
     }
 
