IncompleteStreamTest: every request has to be retried and served, none by chance

The test now sets a budget larger than all could need and a target for the first token beyond the clients' timeout, so that nothing but the incomplete response ends an attempt. In exchange it asks for more: every request is served, its attempts are one at the good server or one at each in this order, and ten are seen to be retried (more than 10 of 20 served, and one retry, before).

--- a/src/test/java/yewdock/faults/IncompleteStreamTest.java
+++ b/src/test/java/yewdock/faults/IncompleteStreamTest.java
@@ -22,8 +22,13 @@
 @Timeout(60)
 class IncompleteStreamTest {
     private static final long GRACE_MILLIS = 1_000;
-    private static final int RETRIED_REQUESTS = 20;
+    private static final int RETRIED_REQUESTS = 10;
     private static final double CLIENT_TIMEOUT_SECONDS = 2;
+    private static final String ASK_WITHIN = "\"ask_within\":10.0";
+    private static final String LARGE_BUDGET =
+            ",\"free_resends\":100000,\"further_ratio\":1.0,\"look_back\":10.0";
+    private static final String AIM = "\"aim\":1.2";
+    private static final String LONG_AIM = "\"aim\":100.0";
     private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
     private static final String CHUNKED_HEAD = STREAM_HEAD + "Transfer-Encoding: chunked\r\n\r\n";
     private static final String EVENT = "data: {\"choices\":[{\"delta\":{\"content\":\"abc\"}}]}\n\n";
@@ -141,19 +146,30 @@
         }
     }
 
-    /** Requests whose clients have nothing yet are retried at another server, within the budget. */
+    /**
+     * Requests whose clients have nothing yet are retried at another server and served. Nothing else may end
+     * an attempt: the budget of extra attempts, which other clients share, is larger than what all of them
+     * could need, and no server counts as slow before the client's timeout.
+     */
     @Test
     void requestsWithoutACompleteFirstEventAreRetriedAtAnotherServer() throws Exception {
-        try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 1, 2)) {
+        try (FaultRig rig = new FaultRig(folder, false, GRACE_MILLIS, 1, 2, configuration -> configuration
+                .replace(ASK_WITHIN, ASK_WITHIN + LARGE_BUDGET).replace(AIM, LONG_AIM))) {
             rig.server(0).respondWith(new ScriptedResponse((CHUNKED_HEAD + LAST_CHUNK)
                     .getBytes(StandardCharsets.US_ASCII), false));
-            int served = 0;
-            for (int i = 0; i < RETRIED_REQUESTS; i++) {
-                String response = responseTo(rig, "0-retried" + i);
-                assertEquals(response.startsWith("HTTP/1.1 200"), response.contains(DONE), response);
-                served += response.contains(DONE) ? 1 : 0;
+            List<String> servedByOther = List.of(rig.server(1).name());
+            List<String> retried = List.of(rig.server(0).name(), rig.server(1).name());
+            int retriedRequests = 0;
+            for (int i = 0; retriedRequests < RETRIED_REQUESTS; i++) {
+                String id = "0-retried" + i + "-";
+                String response = responseTo(rig, id);
+                assertTrue(response.startsWith("HTTP/1.1 200"), response + "\n" + rig.logs());
+                assertTrue(response.contains(DONE), response);
+                List<String> attempts = rig.attemptsWithIdPrefix(id).stream()
+                        .map(RecordingServer.Attempt::server).toList();
+                assertTrue(attempts.equals(servedByOther) || attempts.equals(retried), attempts.toString());
+                retriedRequests += attempts.equals(retried) ? 1 : 0;
             }
-            assertTrue(served > RETRIED_REQUESTS / 2, served + " served\n" + rig.logs());
             awaitLogLine(rig, "request.retried id=0-retried");
         }
     }
