--- a/src/main/java/yewdock/core/ClientConnections.java
+++ b/src/main/java/yewdock/core/ClientConnections.java
@@ -40,7 +40,8 @@
     private final int maxConnections;
     private final long receiveMicros;
     private final LongSupplier now;
-    private final Timers timers;
+    private final EarliestTimer expiryTimer;
+    private final EarliestTimer roomTimer;
     private final Counters counters;
     private final Consumer<Effect> effects;
     private final Set<Long> all = new HashSet<>();
@@ -56,15 +57,14 @@
     private boolean closeEarly;
     /** The connections that are being closed. */
     private final Set<Long> closing = new HashSet<>();
-    private long sweepAt = Long.MAX_VALUE;
-    private long makeRoomAt = Long.MAX_VALUE;
 
     ClientConnections(int maxConnections, LongSupplier now, Timers timers, Counters counters,
             Consumer<Effect> effects) {
         this.maxConnections = maxConnections;
         this.receiveMicros = Math.max(MIN_RECEIVE_MICROS, RECEIVE_MICROS_PER_CONNECTION * maxConnections);
         this.now = now;
-        this.timers = timers;
+        this.expiryTimer = new EarliestTimer(timers, this::closeExpired);
+        this.roomTimer = new EarliestTimer(timers, this::makeRoom);
         this.counters = counters;
         this.effects = effects;
     }
@@ -123,7 +123,6 @@
     /** Sets whether idle connections are closed early so that their clients connect to another process. */
     void setCloseEarly(boolean early) {
         closeEarly = early;
-        sweepAt = Long.MAX_VALUE;
         closeExpired();
     }
 
@@ -148,7 +147,7 @@
             long silentDue = dueAt(silent, FIRST_BYTE_GRACE_MICROS);
             long receivingDue = dueAt(receiving, receiveMicros);
             if (Math.min(silentDue, receivingDue) > now.getAsLong()) {
-                makeRoomLater(Math.min(silentDue, receivingDue));
+                roomTimer.runBy(Math.min(silentDue, receivingDue));
                 return;
             }
             if (silentDue <= receivingDue) {
@@ -179,33 +178,13 @@
         effects.accept(new Effect.RefusePartialRequest(client));
     }
 
-    private void makeRoomLater(long at) {
-        if (at < makeRoomAt) {
-            makeRoomAt = at;
-            timers.runAt(at, () -> {
-                if (makeRoomAt == at) {
-                    makeRoomAt = Long.MAX_VALUE;
-                    makeRoom();
-                }
-            });
-        }
-    }
-
     /** Closes the connections whose timeout has passed and sets the timer for the next one. */
     private void closeExpired() {
         long idleTimeout = closeEarly || all.size() > maxConnections / ROOM_DIVISOR
                 ? SHORT_IDLE_TIMEOUT_MICROS : IDLE_TIMEOUT_MICROS;
         long next = Math.min(closeDue(awaitingRequest, REQUEST_TIMEOUT_MICROS, "clients.closed_waiting"),
                 closeDue(idle, idleTimeout, "clients.closed_quiet"));
-        if (next < sweepAt) {
-            sweepAt = next;
-            timers.runAt(next, () -> {
-                if (sweepAt == next) {
-                    sweepAt = Long.MAX_VALUE;
-                    closeExpired();
-                }
-            });
-        }
+        expiryTimer.runBy(next);
     }
 
     /** Closes the connections that are due and returns when the next one is due, or Long.MAX_VALUE. */
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -22,6 +22,7 @@
 import yewdock.platform.Config;
 import yewdock.platform.ConnectionHandler;
 import yewdock.platform.ConnectionManager;
+import yewdock.platform.NoOpConnection;
 import yewdock.sockets.MinaTransport;
 import yewdock.sockets.MonotonicClock;
 import yewdock.sockets.Signals;
--- a/src/main/java/yewdock/daemon/JvmWarmUp.java
+++ b/src/main/java/yewdock/daemon/JvmWarmUp.java
@@ -20,6 +20,7 @@
 import yewdock.platform.Connection;
 import yewdock.platform.ConnectionHandler;
 import yewdock.platform.ConnectionManager;
+import yewdock.platform.NoOpConnection;
 import yewdock.platform.Transport;
 
 /**
--- a/src/main/java/yewdock/daemon/NoOpConnection.java
+++ b/src/main/java/yewdock/platform/NoOpConnection.java
@@ -1,10 +1,9 @@
-package yewdock.daemon;
+package yewdock.platform;
 
 import java.nio.ByteBuffer;
-import yewdock.platform.Connection;
 
 /** A {@link Connection} without a socket: it discards what is written to it, and closing it has no effect. */
-class NoOpConnection implements Connection {
+public class NoOpConnection implements Connection {
     @Override
     public void write(ByteBuffer bytes) {
         // discarded
