One late answer before a pause does not make an agent silent

Cause: took an agent for silent, and so for one that learns nothing, if the last call before the pause had failed. On a busy machine one answer that is late by an eighth of a second does that. Now an agent is silent a second after its last answer.

A unit test with one late answer before the pause (AgentDiscoveryTest.nothingIsSentAfterPauseThatFollowsALateAnswer) failed before and passes.

--- a/src/main/java/yewdock/core/DiscoveryWatch.java
+++ b/src/main/java/yewdock/core/DiscoveryWatch.java
@@ -82,6 +82,8 @@
      * the routers that hear of every change would crowd out the others.
      */
     private static final long SERIES_GAP_MICROS = 2_000_000;
+    /** Time in microseconds without an answer after which an agent counts as silent. */
+    private static final long SILENT_AFTER_MICROS = 1_000_000;
     /** Longest delay in microseconds before the call after a change in a series. */
     private static final long SERIES_DELAY_MICROS = 1_000_000;
 
@@ -109,6 +111,7 @@
     /** Whether the call after a pause of the process is in flight. */
     private boolean catchingUp;
     private long lastChangeAt = -SERIES_GAP_MICROS;
+    private long answeredAt;
 
     DiscoveryWatch(CoreSettings settings, LongSupplier now, Timers timers, Counters counters,
             Consumer<Effect> effects, Runnable onFailure) {
@@ -221,9 +224,9 @@
         return settings.discoveryByAgent();
     }
 
-    /** Whether an agent holds the list and has answered the last call that ended. */
-    boolean agentAnswers() {
-        return settings.discoveryByAgent() && failures == 0;
+    /** Whether the agent's last answer had come long before this time, in microseconds. */
+    boolean wasSilentAt(long time) {
+        return time - answeredAt >= SILENT_AFTER_MICROS;
     }
 
     String address() {
@@ -356,6 +359,7 @@
         failures = 0;
         unansweredCalls = 0;
         catchingUp = false;
+        answeredAt = now.getAsLong();
         counters.add("list.answers");
     }
 
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -411,9 +411,9 @@
     }
 
     private void processResumed(long pausedMicros) {
-        boolean agentAnswered = watch.agentAnswers();
+        boolean wasSilent = watch.wasSilentAt(context.now() - pausedMicros);
         watch.processResumed(pausedMicros);
-        if (agentAnswered && watch.catchingUp()) {
+        if (watch.byAgent() && !wasSilent && watch.catchingUp()) {
             agentConfirmation.awaitAnswerAfterPause();
         }
     }
--- a/src/test/java/yewdock/AgentDiscoveryTest.java
+++ b/src/test/java/yewdock/AgentDiscoveryTest.java
@@ -242,6 +242,20 @@
         assertEquals(List.of(), answersTo(2), "refused although the agent has answered");
     }
 
+    /** One late answer before the pause does not make an agent silent, which could not learn of a drain. */
+    @Test
+    void nothingIsSentAfterPauseThatFollowsALateAnswer() {
+        start();
+        pass(1_000_000);
+        agent.silent = true;
+        pass(400_000);
+        assertTrue(counters.get("list.failures") > 0);
+        now += 2_000_000;
+        handle(new Event.ProcessResumed(2_000_000));
+        pass(1_000_000);
+        assertEquals(List.of(new Effect.Refuse(1, 0)), answersTo(1));
+    }
+
     /** While an agent that has answered is silent, it learns of no change: the router serves on. */
     @Test
     void requestsAreServedWhileAgentIsSilent() {
