A replaced router that was paused under a silent agent: its own test, and a steady other one

Cause: the router that was replaced had been paused for 125 ms (a quarter of the grace) or more on a busy machine within a second of its agent's silence. It then doesn't know what the agent learned in the pause, says that its list is not confirmed, and the new process refuses until the agent answers. The rule asks for that: what the agent holds counts as known. The test took it that no pause happens.

Evidence: the new test aReplacementOfAPausedRouterWaitsForTheSilentAgent pauses the router on purpose and gets the same 503 for each request until the agent answers, then 200. The failed run's own log does not tell a pause from other reasons; succession.took_over now says list_confirmed.

The first test now starts the replacement when the old router has been shown to serve 1.5 s into the silence, from when on pauses don't matter; if it refuses, the agent answers and is silenced anew, five times at most. What it checks of the replacement is unchanged.

--- a/src/main/java/yewdock/daemon/ProcessHandover.java
+++ b/src/main/java/yewdock/daemon/ProcessHandover.java
@@ -18,6 +18,7 @@
 import yewdock.core.Effect;
 import yewdock.core.Event;
 import yewdock.core.GenerationMessage;
+import yewdock.core.GenerationState;
 import yewdock.core.OlderGeneration;
 import yewdock.core.OperatorOverride;
 import yewdock.core.Reducer;
@@ -235,8 +236,9 @@
                     () -> connectionManager.dispatch(new Event.OlderGenerationChanged(OlderGeneration.NONE)));
             predecessor.send(Frame.newBuilder().setLetGo(LetGo.newBuilder()
                     .setLimitMicros(FINISH_LIMIT_MICROS)).build());
-            EventLog.info("succession.took_over", "boxes",
-                    reducer.generationState().endpointList().servers().size());
+            GenerationState taken = reducer.generationState();
+            EventLog.info("succession.took_over", "boxes", taken.endpointList().servers().size(),
+                    "list_confirmed", taken.listConfirmed());
         }
     }
 
--- a/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
+++ b/src/test/java/yewdock/faults/DrainUnderFaultsTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,6 +32,13 @@
     /** How long an agent is silent. */
     private static final long SILENCE_MILLIS = 2_500;
     private static final int REPLACEMENT_REQUESTS = 20;
+    /** Longer than the time for which a pause of the router matters after its agent fell silent. */
+    private static final long PAUSES_MATTER_MILLIS = 1_500;
+    /** How often an agent is silenced until its router was not paused beforehand. */
+    private static final int MAX_SILENCES = 5;
+    /** With an address for operators' calls, a router's processes share a folder and replace each other. */
+    private static final UnaryOperator<String> WITH_OPERATOR_CALLS =
+            configuration -> configuration.replaceFirst("\\{", "{\"operator\":\"127.0.0.1:0\",");
     /** Time after SIGHUP from which the contents of another agent count as known. */
     private static final long NEW_AGENT_KNOWN_AFTER_MILLIS = 4_000;
 
@@ -96,23 +104,72 @@
     /** A process that replaces another while the agent is silent serves by the list of that one. */
     @Test
     void aReplacementServesByTheListOfItsPredecessorWhileTheAgentIsSilent() throws Exception {
-        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT,
-                configuration -> configuration.replaceFirst("\\{", "{\"operator\":\"127.0.0.1:0\","))) {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT, WITH_OPERATOR_CALLS)) {
             sleep(1_500);
             rig.setStateEverywhere(0, EndpointState.DRAINING);
             sleep(GRACE_MILLIS);
+            silenceAgentOfServingRouter(rig);
+            try (RouterProcess replacement = startReplacement(rig)) {
+                for (int i = 0; i < REPLACEMENT_REQUESTS; i++) {
+                    assertEquals(200, statusOf(replacement.port(), "0-replacement" + i),
+                            rig.logs() + "\n---\n" + replacement.log());
+                }
+            }
+            assertDrainsKept(rig);
+        }
+    }
+
+    /**
+     * Silences the agent of a router that serves by a list which the agent has confirmed. A router that was
+     * paused shortly before its agent fell silent refuses requests until the agent answers, and a busy
+     * machine may pause it: the agent then answers and falls silent anew.
+     */
+    private static void silenceAgentOfServingRouter(FaultRig rig) throws Exception {
+        for (int i = 0; i < MAX_SILENCES; i++) {
             rig.discovery(0).setSilent(true);
-            try (RouterProcess replacement = new RouterProcess(rig.router(0).configurationFile().getParent(),
-                    rig.configuration(rig.discovery(0).address(), 1))) {
-                int port = replacement.port();
+            sleep(PAUSES_MATTER_MILLIS);
+            if (statusOf(rig.router(0).port(), "0-silence" + i) == 200) {
+                return;
+            }
+            rig.discovery(0).setSilent(false);
+            sleep(GRACE_MILLIS);
+        }
+        throw new AssertionError("the router was paused before each silence of its agent:\n" + rig.logs());
+    }
+
+    /**
+     * A paused router did not receive a drain before its agent fell silent, and is replaced. Guards against a
+     * replacement that takes the list of that router for one which the agent has confirmed.
+     */
+    @Test
+    void aReplacementOfAPausedRouterWaitsForTheSilentAgent() throws Exception {
+        try (FaultRig rig = new FaultRig(folder, true, GRACE_MILLIS, 1, SERVER_COUNT, WITH_OPERATOR_CALLS)) {
+            sleep(1_500);
+            rig.signalAll("STOP");
+            sleep(GRACE_MILLIS);
+            rig.setStateEverywhere(0, EndpointState.DRAINING);
+            rig.discovery(0).setSilent(true);
+            rig.signalAll("CONT");
+            try (RouterProcess replacement = startReplacement(rig)) {
                 for (int i = 0; i < REPLACEMENT_REQUESTS; i++) {
-                    assertEquals(200, statusOf(port, "0-replacement" + i), replacement.log());
+                    assertEquals(503, statusOf(replacement.port(), "0-early" + i), replacement.log());
+                }
+                rig.discovery(0).setSilent(false);
+                sleep(1_500);
+                for (int i = 0; i < REPLACEMENT_REQUESTS; i++) {
+                    assertEquals(200, statusOf(replacement.port(), "0-late" + i), replacement.log());
                 }
             }
             assertDrainsKept(rig);
         }
     }
 
+    /** Starts a process that replaces the first router. */
+    private static RouterProcess startReplacement(FaultRig rig) throws Exception {
+        return new RouterProcess(rig.router(0).configurationFile().getParent(),
+                rig.configuration(rig.discovery(0).address(), 1));
+    }
+
     private static int statusOf(int port, String id) throws Exception {
         try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
             socket.setSoTimeout(10_000);
