--- a/src/main/java/yewdock/core/DiscoveryWatch.java
+++ b/src/main/java/yewdock/core/DiscoveryWatch.java
@@ -25,7 +25,7 @@
      * Time in microseconds after which a change in discovery counts as known, even if a call failed or was
      * not answered.
      */
-    private static final long KNOWN_AFTER_MICROS = 6_000_000;
+    static final long KNOWN_AFTER_MICROS = 6_000_000;
     /**
      * Shares, in tenths, of what is left of that time and the drain grace after a long poll. Three tenths are
      * for the answer to the long poll, six for the answer to the call that follows it, which may have to
--- a/src/main/java/yewdock/core/Event.java
+++ b/src/main/java/yewdock/core/Event.java
@@ -11,9 +11,14 @@
 public sealed interface Event {
     /**
      * The router has started, with the last endpoint list that was stored and the address of the discovery
-     * service.
+     * service. If it awaits confirmation, an earlier process may have received a drain that is not in the
+     * list, which is used only once discovery has answered or can't be reached.
      */
-    record Started(EndpointList endpointList, String discoveryAddress) implements Event {
+    record Started(EndpointList endpointList, String discoveryAddress, boolean awaitsConfirmation)
+            implements Event {
+        public Started(EndpointList endpointList, String discoveryAddress) {
+            this(endpointList, discoveryAddress, false);
+        }
     }
 
     /** A new configuration names another discovery address. */
--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -22,7 +22,7 @@
     private final ReducerContext context;
     private final ClientConnections clients;
     private final DiscoveryWatch watch;
-    private final AgentConfirmation agentConfirmation;
+    private final ListConfirmation listConfirmation;
     private final OtherGenerations otherGenerations;
     private final KnownServers servers;
     private final ServerConnections connections;
@@ -49,7 +49,7 @@
                 counters, context::emit);
         this.watch = new DiscoveryWatch(settings, context::now, context.timers(), counters, context::emit,
                 this::discoveryCallFailed);
-        this.agentConfirmation = new AgentConfirmation(context);
+        this.listConfirmation = new ListConfirmation(context);
         this.otherGenerations = new OtherGenerations(context::now, context.timers(), counters, context::emit,
                 new Admission());
         this.connections = new ServerConnections(context, limits.maxServerConnections(),
@@ -106,9 +106,8 @@
         if (context.inDoubt()) {
             return "in doubt about what is agreed";
         }
-        if (agentConfirmation.isFirstAnswerAwaited()) {
-            return agentConfirmation.delaysReadiness() ? "the agent that has the box list has not answered"
-                    : "";
+        if (listConfirmation.isFirstAnswerAwaited()) {
+            return listConfirmation.delaysReadiness() ? "discovery has not answered" : "";
         }
         return servers.all().stream().anyMatch(ModelServer::takesWork) ? "" : "no model box takes work";
     }
@@ -168,7 +167,7 @@
     }
 
     private boolean isListConfirmed() {
-        return !agentConfirmation.isFirstAnswerAwaited() && !context.isListUnconfirmed();
+        return !listConfirmation.isFirstAnswerAwaited() && !context.isListUnconfirmed();
     }
 
     private void dispatch(Event event) {
@@ -389,23 +388,25 @@
         servers.apply(endpointList);
         context.callModule(0, m -> m.started(context.now()));
         if (watch.byAgent()) {
-            agentConfirmation.awaitFirstAnswer();
+            listConfirmation.awaitFirstAnswer();
+        } else if (event.awaitsConfirmation()) {
+            listConfirmation.awaitFirstPolledAnswer(this::listConfirmed);
         } else {
             context.callModule(0, m -> m.listReceived(context.now(), ListKind.CACHED,
                     serverStates(servers.withOverrides(endpointList))));
         }
     }
 
-    /** The agent has confirmed the known servers: from its first answer on the module is told of them. */
+    /** The known servers may be used: from discovery's first answer on the module is told of them. */
     private void listConfirmed() {
-        if (agentConfirmation.confirmed()) {
+        if (listConfirmation.confirmed()) {
             reportKnownServers();
         }
     }
 
     private void discoveryMoved(String address) {
         if (watch.byAgent() && !address.equals(watch.address())) {
-            agentConfirmation.awaitMovedAgent();
+            listConfirmation.awaitMovedAgent();
         }
         watch.moveTo(address);
     }
@@ -414,7 +415,7 @@
         boolean wasSilent = watch.wasSilentAt(context.now() - pausedMicros);
         watch.processResumed(pausedMicros);
         if (watch.byAgent() && !wasSilent && watch.catchingUp()) {
-            agentConfirmation.awaitAnswerAfterPause();
+            listConfirmation.awaitAnswerAfterPause();
         }
     }
 
@@ -478,7 +479,7 @@
      */
     private void reportKnownServers() {
         connections.closeUnusableIdle();
-        if (agentConfirmation.isFirstAnswerAwaited()) {
+        if (listConfirmation.isFirstAnswerAwaited()) {
             return;
         }
         EndpointList all = new EndpointList(watch.version(), true, List.copyOf(servers.all()));
@@ -558,8 +559,10 @@
                     sent.server()));
         }
         applyRelayedList(state.endpointList(), state.discoveryAddress());
-        if (state.listConfirmed() && state.discoveryAddress().equals(watch.address())) {
-            // the other generation has received what the agent held when it fell silent
+        // an agent at the same address held, when it fell silent, what the other generation has received;
+        // what polled discovery told that one is in its state, whatever address this one calls
+        boolean sameDiscovery = !watch.byAgent() || state.discoveryAddress().equals(watch.address());
+        if (state.listConfirmed() && sameDiscovery) {
             listConfirmed();
         }
     }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -48,6 +48,7 @@
     private static final long FLUSH_TIMEOUT_MILLIS = 500;
     private static final int WARM_UP_REQUESTS = 500;
     private static final long STORE_INTERVAL_MILLIS = 1_000;
+    /** How long a generation without a predecessor waits for the endpoint list before it accepts requests. */
     private static final long LIST_TIMEOUT_MILLIS = 500;
     /** Longest Retry-After without a lease: a lease is renewed within a second of a majority returning. */
     private static final long MAX_RETRY_AFTER_MICROS = 1_000_000;
@@ -210,6 +211,8 @@
         connectionManager.forwardGenerationEffectsTo(this::sendToOthers);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> transport.shutDownGracefully(), "leave"));
         if (stateIsStored) {
+            // a drain that a killed process received just before its end may not be stored
+            connectionManager.requireListConfirmation();
             runPeriodically(STORE_INTERVAL_MILLIS, () -> supervisorConnection.send(Frame.newBuilder().setKeep(
                     StateCodec.encodeLearnedState(module.learnedState(false),
                             transport.clock().getAsLong())).build()));
@@ -258,7 +261,7 @@
         }
         Runnable ready = () -> reportReady(inherited);
         if (stateIsStored && (inherited == null || inherited.afterRestart())) {
-            // a drain reported just before a kill may not be stored: wait for the endpoint list, which has it
+            // operators' commands name servers in the list, and requests are held until it is received
             onListReceived = ready;
             transport.postDelayed(LIST_TIMEOUT_MILLIS, this::listReceived);
         } else {
--- a/src/main/java/yewdock/platform/ConnectionManager.java
+++ b/src/main/java/yewdock/platform/ConnectionManager.java
@@ -28,6 +28,8 @@
     private final ServerStartTimes startTimes;
     /** Unix time in microseconds, by which servers report their start; it may be stepped. */
     private LongSupplier wallClock;
+    /** Whether discovery has to confirm the endpoint list of the start before it is used. */
+    private boolean listNeedsConfirmation;
     private final NameIndexes names;
     /** Limits what clients have sent and is no complete request; the reducer limits complete requests. */
     private final InputMemory inputMemory;
@@ -77,7 +79,12 @@
     /** Starts the reducer with an endpoint list that is newer than the configuration's. */
     public void start(EndpointList known) {
         listReader.remember(known);
-        dispatch(new Event.Started(known, config.discoveryAddress()));
+        dispatch(new Event.Started(known, config.discoveryAddress(), listNeedsConfirmation));
+    }
+
+    /** Requires that discovery confirms the endpoint list of the start before it is used. */
+    public void requireListConfirmation() {
+        listNeedsConfirmation = true;
     }
 
     /** Sets the clock by which servers report their start: Unix time in microseconds. */
--- a/src/main/java/yewdock/testbed/StubDiscovery.java
+++ b/src/main/java/yewdock/testbed/StubDiscovery.java
@@ -31,6 +31,7 @@
     private final ObservationLog observations;
     private final Map<String, ListedServer> servers = new LinkedHashMap<>();
     private long version = 1;
+    private volatile long answerDelayMillis;
 
     /** Starts serving an empty endpoint list; each state it sends is recorded as an observation. */
     public StubDiscovery(ObservationLog observations) throws IOException {
@@ -55,6 +56,11 @@
         putServer(name, server.address, server.zone, server.kind, state, server.startedMillis);
     }
 
+    /** Delays each answer by this time from now on. */
+    public void delayAnswers(long millis) {
+        answerDelayMillis = millis;
+    }
+
     @Override
     void serve(Socket socket) throws IOException {
         BlockingHttpConnection connection = new BlockingHttpConnection(socket, MessageReader.Kind.REQUEST);
@@ -68,6 +74,7 @@
             long since = watch.find() ? Long.parseLong(watch.group(1)) : -1;
             long waitMillis = since < 0 ? 0 : Math.min(MAX_WAIT_MILLIS, Long.parseLong(watch.group(2)));
             ListUpdate update = awaitUpdate(since, waitMillis);
+            delayAnswer();
             if (isClosedByPeer(socket)) {
                 return;
             }
@@ -80,6 +87,14 @@
         }
     }
 
+    private void delayAnswer() {
+        try {
+            Thread.sleep(answerDelayMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Whether the client closed the connection while its long poll was held. A response written then reaches
      * nobody and must not be recorded.
--- a/src/test/java/yewdock/PolledDiscoveryTest.java
+++ b/src/test/java/yewdock/PolledDiscoveryTest.java
@@ -1,10 +1,12 @@
 package yewdock;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import umberspread.Routing;
 import umberspread.Routing.Lifecycle;
@@ -15,6 +17,8 @@
 import yewdock.core.Effect;
 import yewdock.core.EndpointList;
 import yewdock.core.Event;
+import yewdock.core.GenerationState;
+import yewdock.core.ModelRequest;
 import yewdock.core.ModelServer;
 import yewdock.core.Reducer;
 import yewdock.core.ResourceLimits;
@@ -42,6 +46,7 @@
     private long silentUntil = Long.MIN_VALUE;
     private long drainKnownAt = Long.MAX_VALUE;
     private int reportedFailures;
+    private final List<String> reports = new ArrayList<>();
     private long now;
 
     /** Calls discovery once, and again a second after it is told of a failure. */
@@ -57,6 +62,7 @@
 
         @Override
         public void listReceived(long time, ListKind kind, List<ServerState> entries) {
+            reports.add(kind + " " + entries.stream().map(ServerState::lifecycle).toList());
             if (kind == ListKind.FAILED) {
                 reportedFailures++;
                 module.wakeAt(time + SECOND, 1);
@@ -75,8 +81,9 @@
         return new ModelServer("s-1", "127.0.0.1:9001", new ServerState(1, 0, 0, 1, 1, state, 0));
     }
 
-    private void handle(Event event) {
-        for (Effect effect : reducer.reduce(event, now)) {
+    private List<Effect> handle(Event event) {
+        List<Effect> effects = reducer.reduce(event, now);
+        for (Effect effect : effects) {
             if (effect instanceof Effect.CallDiscovery call) {
                 callTimes.add(now);
                 openCall = call;
@@ -85,6 +92,7 @@
                 openCall = null;
             }
         }
+        return effects;
     }
 
     /**
@@ -178,4 +186,54 @@
         assertTrue(callsMade >= 10 && callsMade <= 32, "calls in a minute without answers: " + callsMade);
         assertTrue(reportedFailures > 5, "failures left to the module's backoff: " + reportedFailures);
     }
+
+    /** Starts with a stored list, in which a drain may be missing that was received just before a kill. */
+    private void startWithStoredList() {
+        handle(new Event.Started(KNOWN, "127.0.0.1:8500", true));
+    }
+
+    /**
+     * Guards against a restarted router that sends by its stored list although discovery, which is slow to
+     * answer, told the process before of a drain.
+     */
+    @Test
+    void storedListIsNotUsedBeforeDiscoveryAnswers() {
+        drained = true;
+        silentUntil = 3 * SECOND;
+        startWithStoredList();
+        pass(5 * SECOND / 2);
+        assertEquals(List.of(), reports, "the stored list was used");
+        assertFalse(reducer.notReadyReason().isEmpty());
+        handle(new Event.ClientConnected(1));
+        ModelRequest request = new ModelRequest("r1", 0, 0, false, 1, 1, 1, 0, 9, 900_000, 100);
+        assertTrue(handle(new Event.RequestReceived(1, request)).contains(new Effect.Refuse(1, 0)));
+        pass(SECOND);
+        assertEquals("CACHED [DRAINING]", reports.get(0));
+    }
+
+    /** Without discovery, the stored list is all that a restarted router has. */
+    @Test
+    void storedListIsUsedIfDiscoveryCannotBeReached() {
+        silentUntil = 60 * SECOND;
+        startWithStoredList();
+        pass(59 * SECOND / 10);
+        assertEquals(0, reports.stream().filter(line -> line.startsWith("CACHED")).count());
+        assertFalse(reducer.notReadyReason().isEmpty());
+        pass(SECOND / 5);
+        assertTrue(reports.contains("CACHED [READY]"), reports.toString());
+        assertEquals("", reducer.notReadyReason());
+        assertEquals(1, counters.get("list.used_unconfirmed"));
+    }
+
+    /** A process that replaces another knows what discovery told that one. */
+    @Test
+    void replacementUsesTheListOfItsPredecessorAtOnce() {
+        silentUntil = 60 * SECOND;
+        startWithStoredList();
+        assertEquals(List.of(), reports);
+        EndpointList predecessorsList = new EndpointList(8, true, List.of(server(Lifecycle.DRAINING)));
+        handle(new Event.GenerationStateReceived(1, new GenerationState(List.of(), List.of(), List.of(),
+                predecessorsList, "127.0.0.1:8500", true, Map.of())));
+        assertEquals(List.of("CACHED [DRAINING]"), reports);
+    }
 }
--- a/src/test/java/yewdock/StoreDaemonTest.java
+++ b/src/test/java/yewdock/StoreDaemonTest.java
@@ -27,6 +27,12 @@
 /** Daemons in separate processes with stores and replication: kills, restarts, bad disks, lost peers. */
 class StoreDaemonTest {
     private static final String MAIN = Main.class.getName();
+    /** Time from the start to readiness that is allowed to a restarted router. */
+    private static final long READY_LIMIT_SECONDS = 10;
+    private static final String READY_STATUS_LINE = "HTTP/1.1 200";
+    private static final long SLOW_ANSWER_MILLIS = 1_500;
+    /** Longer than the first call's random delay, a slow answer and some requests after it take. */
+    private static final int LOAD_OVER_FIRST_ANSWER_MILLIS = 4_000;
 
     @TempDir
     private Path folder;
@@ -132,6 +138,7 @@
             fleet.discovery().close();
             int before = fleet.observations().serverAttempts().size();
             try (DaemonProcess router = start(fleet, "a", storeBlock(directory))) {
+                awaitReady(router);
                 runLoad(fleet, router.address(), 1, 600);
                 assertTrue(fleet.observations().serverAttempts().size() > before, router.log());
                 assertTrue(fleet.observations().serverAttempts().stream().skip(before)
@@ -140,6 +147,56 @@
         }
     }
 
+    /**
+     * Guards against a restarted daemon that serves by its store before discovery has answered: a drain that
+     * was told just before the kill is not in the store.
+     */
+    @Test
+    void drainToldJustBeforeAKillIsKept() throws Exception {
+        Path directory = folder.resolve("kept");
+        try (Fleet fleet = new Fleet(3, 16)) {
+            String server = fleet.servers().get(1).name();
+            try (DaemonProcess router = start(fleet, "a", storeBlock(directory))) {
+                awaitReady(router);
+                fleet.discovery().setState(server, "draining");
+                awaitDrainTold(fleet, server);
+            }
+            fleet.discovery().delayAnswers(SLOW_ANSWER_MILLIS);
+            int before = fleet.observations().serverAttempts().size();
+            try (DaemonProcess router = start(fleet, "a", storeBlock(directory))) {
+                runLoad(fleet, router.address(), 1, LOAD_OVER_FIRST_ANSWER_MILLIS);
+                assertTrue(fleet.observations().serverAttempts().size() > before, router.log());
+                assertEquals(0, fleet.observations().serverAttempts().stream().skip(before)
+                        .filter(attempt -> attempt.server().equals(server)).count(), router.log());
+            }
+        }
+    }
+
+    private static void awaitDrainTold(Fleet fleet, String server) {
+        while (fleet.observations().endpointUpdates().stream().noneMatch(update ->
+                update.server().equals(server) && update.state().equals("draining"))) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Waits until the router reports that it is ready, as any restarted router has to be in time. */
+    private static void awaitReady(DaemonProcess router) throws Exception {
+        long deadline = System.nanoTime() + READY_LIMIT_SECONDS * 1_000_000_000;
+        while (!isReady(router.address())) {
+            assertTrue(System.nanoTime() < deadline, "not ready in time\n" + router.log());
+            Thread.sleep(20);
+        }
+    }
+
+    private static boolean isReady(InetSocketAddress address) throws IOException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream().write("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readNBytes(READY_STATUS_LINE.length()),
+                    StandardCharsets.US_ASCII).equals(READY_STATUS_LINE);
+        }
+    }
+
     @Test
     void secondDaemonOnTheSameStoreExits() throws Exception {
         try (Fleet fleet = new Fleet(1, 4);
