--- a/src/main/java/yewdock/core/Reducer.java
+++ b/src/main/java/yewdock/core/Reducer.java
@@ -569,11 +569,14 @@
 
     /**
      * Applies the drains and removals in a list that another generation received, so that all generations
-     * keep a drain. Only changes that end the use of a server are taken, and only from newer list versions;
-     * this generation's own watch continues at its version and delivers the rest.
+     * keep a drain. Only changes that end the use of a server are taken, and only from newer list versions
+     * or, before this generation has a list from its own discovery address, from another address; its own
+     * watch continues at its version and delivers the rest.
      */
     private void applyRelayedList(EndpointList list, String address) {
-        if (!address.equals(watch.address()) || list.version() <= watch.version()) {
+        boolean isNewer = address.equals(watch.address()) ? list.version() > watch.version()
+                : watch.version() < 0;
+        if (!isNewer) {
             return;
         }
         List<ModelServer> changes = servers.endingsIn(list, Routing.Lifecycle.GONE);
--- a/src/main/java/yewdock/daemon/ConfigurationFile.java
+++ b/src/main/java/yewdock/daemon/ConfigurationFile.java
@@ -20,6 +20,8 @@
     private final boolean handlesSignal;
     /** Reloads the file and returns whether it could be read; null until {@link #setReader}. */
     private BooleanSupplier reader;
+    /** The attributes of the file when it was last read. */
+    private FileAttributes lastRead;
     private boolean reloadPending;
     private boolean polling;
 
@@ -39,6 +41,7 @@
 
     private ConfigurationFile(Path file) {
         this.file = file;
+        lastRead = FileAttributes.at(file);
         handlesSignal = Signals.onHangUp(this::reload);
     }
 
@@ -69,12 +72,26 @@
         if (reloadPending) {
             return;
         }
-        FileAttributes before = FileAttributes.at(file);
+        lastRead = FileAttributes.at(file);
         if (!reader.getAsBoolean()) {
-            startPolling(before);
+            startPolling(lastRead);
         }
     }
 
+    /** Reloads the file if it has changed since it was last read. */
+    synchronized void reloadIfChanged() {
+        if (!FileAttributes.at(file).equals(lastRead)) {
+            reload();
+        }
+    }
+
+    /** Runs a reload on a thread of its own, since a slow disk must not delay the caller. */
+    static void inBackground(Runnable reload) {
+        Thread thread = new Thread(reload, "reconfigure");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private synchronized void startPolling(FileAttributes loaded) {
         if (polling) {
             return;
@@ -95,7 +112,7 @@
                 FileAttributes current = FileAttributes.at(file);
                 if (current.equals(last) && !current.equals(loaded)) {
                     loaded = current;
-                    if (reloadChanged()) {
+                    if (reloadChanged(current)) {
                         return;
                     }
                 }
@@ -107,7 +124,8 @@
     }
 
     /** Reloads the changed file; returns whether polling can end. */
-    private synchronized boolean reloadChanged() {
+    private synchronized boolean reloadChanged(FileAttributes current) {
+        lastRead = current;
         polling = !(reader.getAsBoolean() && handlesSignal);
         return !polling;
     }
--- a/src/main/java/yewdock/daemon/Generation.java
+++ b/src/main/java/yewdock/daemon/Generation.java
@@ -150,6 +150,7 @@
         }
         supervisorConnection.send(Frame.newBuilder().setChecked(Checked.getDefaultInstance()).build());
         StateCodec.InheritedState inherited = awaitPredecessorState();
+        readAgain();
         stageReached(Stage.READY);
         JvmWarmUp.run(config, WARM_UP_REQUESTS);
         build(inherited);
@@ -162,6 +163,20 @@
         return 0;
     }
 
+    private void logRefused(Exception refusal) {
+        EventLog.warn("configuration.refused", "generation", number, "why", refusal.getMessage(),
+                "now", "the old one stays");
+    }
+
+    /** Reads the configuration again; a reload that was requested since the first time is not repeated. */
+    private void readAgain() {
+        try {
+            config = read();
+        } catch (IOException | IllegalArgumentException e) {
+            logRefused(e);
+        }
+    }
+
     private Config read() throws IOException {
         return StandaloneRouter.read(configFile, this::log);
     }
@@ -467,16 +482,13 @@
 
     /** Reloads the configuration on a separate thread, because a slow disk must not delay requests. */
     private void reconfigure() {
-        Thread reader = new Thread(() -> {
+        ConfigurationFile.inBackground(() -> {
             try {
                 transport.reconfigure(read());
             } catch (IOException | IllegalArgumentException e) {
-                EventLog.warn("configuration.refused", "generation", number, "why", e.getMessage(),
-                        "now", "the old one stays");
+                logRefused(e);
             }
-        }, "reconfigure");
-        reader.setDaemon(true);
-        reader.start();
+        });
     }
 
     private Map<String, Long> countsSinceStart() {
--- a/src/main/java/yewdock/daemon/ProcessHandover.java
+++ b/src/main/java/yewdock/daemon/ProcessHandover.java
@@ -34,6 +34,7 @@
 import yewdock.wire.LetGo;
 import yewdock.wire.Marks;
 import yewdock.wire.News;
+import yewdock.wire.Reconfigure;
 import yewdock.wire.Share;
 import yewdock.wire.State;
 
@@ -63,6 +64,8 @@
      * requires it within 6 s; until then the older one can finish its streams. Both serve in the meantime.
      */
     private static final long READY_AGE_MILLIS = 5_000;
+    /** Time from readiness to the last check for a reload that was requested of the older process. */
+    private static final long LAST_CONFIGURATION_CHECK_MILLIS = 1_000;
     /**
      * Index of the start time, in clock ticks since boot, among the fields of /proc/self/stat behind the
      * name.
@@ -86,6 +89,7 @@
     private MinaTransport transport;
     private ConnectionManager connectionManager;
     private Reducer reducer;
+    private ConfigurationFile configurationFile;
     private ServerSocketChannel successorListener;
     /** Written on the reducer's thread only. */
     private ControlConnection successor;
@@ -159,7 +163,8 @@
     }
 
     /** Serves until the process is told to stop. */
-    public final void serve(MinaTransport transport, ConnectionManager connectionManager, Reducer reducer) {
+    final void serve(MinaTransport transport, ConnectionManager connectionManager, Reducer reducer,
+            ConfigurationFile configurationFile) {
         synchronized (this) {
             this.transport = transport;
             queuedWork.forEach(transport::post);
@@ -167,6 +172,7 @@
         }
         this.connectionManager = connectionManager;
         this.reducer = reducer;
+        this.configurationFile = configurationFile;
         this.connectionManager.forwardGenerationEffectsTo(this::sendToOthers);
         this.transport.serveWithoutListening(this::start, this.connectionManager, this.reducer);
         if (successor == null && successorListener != null) {
@@ -198,6 +204,8 @@
             takeOver();
             return;
         }
+        // a SIGHUP that the older process handled before it knew of this one
+        checkConfiguration();
         connectionManager.dispatch(new Event.OlderGenerationChanged(OlderGeneration.SERVING));
         stageReached(Stage.READY);
         predecessor.send(Frame.newBuilder().setShare(Share.getDefaultInstance()).build());
@@ -232,8 +240,7 @@
         connectionManager.dispatch(new Event.OlderGenerationChanged(predecessor == null ? OlderGeneration.NONE
                 : OlderGeneration.FINISHING));
         if (predecessor != null) {
-            transport.postDelayed(Math.max(0, READY_AGE_MILLIS - ageMillis()),
-                    () -> connectionManager.dispatch(new Event.OlderGenerationChanged(OlderGeneration.NONE)));
+            transport.postDelayed(Math.max(0, READY_AGE_MILLIS - ageMillis()), this::becomeReady);
             predecessor.send(Frame.newBuilder().setLetGo(LetGo.newBuilder()
                     .setLimitMicros(FINISH_LIMIT_MICROS)).build());
             GenerationState taken = reducer.generationState();
@@ -288,15 +295,30 @@
             }
             case NEWS -> messageReceived(PREDECESSOR, frame.getNews());
             case MARKS -> overridesChanged(frame.getMarks());
+            case RECONFIGURE -> ConfigurationFile.inBackground(configurationFile::reload);
             default -> EventLog.warn("frame.unknown", "from", "older", "frame", frame.getWhatCase());
         }
     }
 
+    /**
+     * Reports that this process is ready. SIGHUP comes to it from now on; one just before may have come to an
+     * older process that had ended, or that could not pass it on.
+     */
+    private void becomeReady() {
+        connectionManager.dispatch(new Event.OlderGenerationChanged(OlderGeneration.NONE));
+        checkConfiguration();
+        transport.postDelayed(LAST_CONFIGURATION_CHECK_MILLIS, this::checkConfiguration);
+    }
+
+    private void checkConfiguration() {
+        ConfigurationFile.inBackground(configurationFile::reloadIfChanged);
+    }
+
     private void predecessorGone(String reason) {
         EventLog.info("succession.older_gone", "why", reason);
         predecessor = null;
         connectionManager.dispatch(new Event.GenerationGone(PREDECESSOR));
-        connectionManager.dispatch(new Event.OlderGenerationChanged(OlderGeneration.NONE));
+        becomeReady();
         takeOver();
     }
 
@@ -423,6 +445,12 @@
 
     // ---- in both roles
 
+    /** Has the newer process reload the configuration as well: before it is ready it gets no SIGHUP. */
+    final void configurationReloaded() {
+        runOnReducerThread(() -> send(successor,
+                Frame.newBuilder().setReconfigure(Reconfigure.getDefaultInstance()).build()));
+    }
+
     private void messageReceived(int generation, News encoded) {
         GenerationMessage message = StateCodec.message(encoded);
         if (message != null) {
--- a/src/main/java/yewdock/daemon/StandaloneRouter.java
+++ b/src/main/java/yewdock/daemon/StandaloneRouter.java
@@ -69,7 +69,13 @@
             Logger.info("counters at exit:\n{}", counters);
             EventLog.flush();
         }, "leave"));
-        configurationFile.setReader(() -> reconfigure(transport, configFile, log));
+        configurationFile.setReader(() -> {
+            boolean readable = reconfigure(transport, configFile, log);
+            if (readable && handover != null) {
+                handover.configurationReloaded();
+            }
+            return readable;
+        });
         if (!configurationFile.handlesSignal()) {
             Logger.warn("SIGHUP was ignored when this process was started: {} is read again whenever it has "
                     + "changed", configFile);
@@ -88,7 +94,7 @@
             if (handover == null) {
                 transport.serve(config.listenAddress(), connectionManager, reducer);
             } else {
-                handover.serve(transport, connectionManager, reducer);
+                handover.serve(transport, connectionManager, reducer, configurationFile);
             }
         } catch (IOException e) {
             Logger.error("can't listen on {}: {}", config.listenAddress(), e.getMessage());
--- a/src/test/java/yewdock/PolledDiscoveryTest.java
+++ b/src/test/java/yewdock/PolledDiscoveryTest.java
@@ -231,9 +231,31 @@
         silentUntil = 60 * SECOND;
         startWithStoredList();
         assertEquals(List.of(), reports);
-        EndpointList predecessorsList = new EndpointList(8, true, List.of(server(Lifecycle.DRAINING)));
-        handle(new Event.GenerationStateReceived(1, new GenerationState(List.of(), List.of(), List.of(),
-                predecessorsList, "127.0.0.1:8500", true, Map.of())));
+        handle(predecessorToldOfDrainAt("127.0.0.1:8500"));
         assertEquals(List.of("CACHED [DRAINING]"), reports);
     }
+
+    private static Event predecessorToldOfDrainAt(String address) {
+        EndpointList list = new EndpointList(8, true, List.of(server(Lifecycle.DRAINING)));
+        return new Event.GenerationStateReceived(1, new GenerationState(List.of(), List.of(), List.of(), list,
+                address, true, Map.of()));
+    }
+
+    /**
+     * Guards against a process that replaces another while discovery moves, and forgets a drain that the old
+     * address told that one: until the new address has answered, it is all that is known.
+     */
+    @Test
+    void drainFromOtherAddressHoldsUntilOwnListIsReceived() {
+        silentUntil = 2 * SECOND;
+        handle(new Event.Started(new EndpointList(-1, true, KNOWN.servers()), "127.0.0.1:8501"));
+        pass(SECOND);
+        handle(predecessorToldOfDrainAt("127.0.0.1:8500"));
+        assertEquals("CACHED [DRAINING]", reports.get(reports.size() - 1));
+        openCall = null;
+        handle(new Event.EndpointListReceived(KNOWN));
+        assertEquals("FULL [READY]", reports.get(reports.size() - 1));
+        handle(predecessorToldOfDrainAt("127.0.0.1:8500"));
+        assertEquals("FULL [READY]", reports.get(reports.size() - 1), "an outdated drain was taken");
+    }
 }
--- a/src/test/java/yewdock/daemon/ConfigurationFileTest.java
+++ b/src/test/java/yewdock/daemon/ConfigurationFileTest.java
@@ -48,6 +48,17 @@
         assertEquals(WHOLE, read.poll());
     }
 
+    @Test
+    void unchangedFileIsNotReloadedWithoutRequest() throws Exception {
+        ConfigurationFile configuration = ConfigurationFile.at(file);
+        configuration.setReader(this::read);
+        configuration.reloadIfChanged();
+        assertNull(read.poll());
+        Files.writeString(file, " " + WHOLE);
+        configuration.reloadIfChanged();
+        assertEquals(" " + WHOLE, read.poll());
+    }
+
     @Test
     void incompleteFileIsReloadedOnceItIsComplete() throws Exception {
         ConfigurationFile configuration = ConfigurationFile.at(file);
