DiscoveryCalls: what both kinds of answers have in common stands once

answered and answeredAndClosed differed only in what becomes of the connection. No change of behaviour; SlowDiscoveryTest and the discovery tests pass.

--- a/src/main/java/yewdock/platform/DiscoveryCalls.java
+++ b/src/main/java/yewdock/platform/DiscoveryCalls.java
@@ -134,14 +134,36 @@
      */
     void answered(DiscoveryConnectionHandler connection, EndpointList list, long delayMicros) {
         CallAside aside = takeAside(connection);
-        if (aside != null && aside.superseded) {
+        if (isSuperseded(aside)) {
             connection.close();
+        } else if (aside != null) {
+            replaceCurrent(connection);
+        }
+        reportAnswer(aside, list, delayMicros);
+    }
+
+    /** Handles an answer that ends its connection: the next call needs a new one. */
+    void answeredAndClosed(DiscoveryConnectionHandler connection, EndpointList list, long delayMicros) {
+        CallAside aside = takeAside(connection);
+        connectionClosed(connection);
+        if (aside != null && !isSuperseded(aside)) {
+            setOpenCallAside();
+        }
+        reportAnswer(aside, list, delayMicros);
+    }
+
+    private static boolean isSuperseded(CallAside aside) {
+        return aside != null && aside.superseded;
+    }
+
+    /** Reports the answer to a call, which was set aside unless that is null. */
+    private void reportAnswer(CallAside aside, EndpointList list, long delayMicros) {
+        if (isSuperseded(aside)) {
             events.accept(new Event.LateEndpointListReceived(list, delayMicros));
             return;
         }
         if (aside != null) {
             counters.add("list.late_answers");
-            replaceCurrent(connection);
         }
         callsAside.forEach(other -> other.superseded = true);
         events.accept(new Event.EndpointListReceived(list, delayMicros));
@@ -160,22 +182,6 @@
         }
     }
 
-    /** Handles an answer that ends its connection: the next call needs a new one. */
-    void answeredAndClosed(DiscoveryConnectionHandler connection, EndpointList list, long delayMicros) {
-        CallAside aside = takeAside(connection);
-        connectionClosed(connection);
-        if (aside != null && aside.superseded) {
-            events.accept(new Event.LateEndpointListReceived(list, delayMicros));
-            return;
-        }
-        if (aside != null) {
-            counters.add("list.late_answers");
-            setOpenCallAside();
-        }
-        callsAside.forEach(other -> other.superseded = true);
-        events.accept(new Event.EndpointListReceived(list, delayMicros));
-    }
-
     /** Handles a failed call; if it was set aside, another one is open or will be. */
     void failed(DiscoveryConnectionHandler connection) {
         if (takeAside(connection) != null) {
