Connections due to be closed are closed once their waiting input begins no request

A client's connection that timed out while bytes of it were read and not yet delivered stayed open, since they may begin a request. If they were only line ends, nothing closed it any more: no timeout ran, and it counted as closing, so each such client took one of the 24 places above the connection limit for good.

The handler now remembers that a close is due and closes once the input is read without a request in it.

--- a/src/main/java/yewdock/platform/ClientConnectionHandler.java
+++ b/src/main/java/yewdock/platform/ClientConnectionHandler.java
@@ -46,6 +46,8 @@
     private boolean requestOpen;
     private boolean responseStarted;
     private boolean closing;
+    /** Whether to close the connection unless its input that is not delivered yet begins a request. */
+    private boolean closeOnceRead;
     /**
      * Whether the client has sent more after the open request than is kept. The excess is read and dropped,
      * since otherwise a disconnect after it would go unnoticed; the connection closes after the response.
@@ -93,6 +95,9 @@
         }
         trimUnreadInput();
         updateInputMemory();
+        if (closeOnceRead && !closing && !requestOpen && reader.atMessageStart() && unreadInput.isEmpty()) {
+            closeUnlessUndelivered();
+        }
     }
 
     private void addUnread(Input input) {
@@ -201,6 +206,7 @@
             }
             if (atMessageStart && !reader.atMessageStart()) {
                 requestArrival = next.arrival;
+                closeOnceRead = false;
                 manager.dispatch(new Event.ClientRequestStarted(clientId));
             }
         }
@@ -229,7 +235,7 @@
         if (closing) {
             connection.close();
         } else if (reader.atMessageStart()) {
-            closing = connection.closeUnlessUndelivered();
+            closeUnlessUndelivered();
         } else {
             manager.counters().add("requests.malformed");
             reject(408, "the request did not come in time");
@@ -392,10 +398,15 @@
 
     void closeIfIdle() {
         if (!closing && !hasRequestInProgress()) {
-            closing = connection.closeUnlessUndelivered();
+            closeUnlessUndelivered();
         }
     }
 
+    private void closeUnlessUndelivered() {
+        closing = connection.closeUnlessUndelivered();
+        closeOnceRead = !closing;
+    }
+
     private void write(String text) {
         write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
