--- a/src/test/java/yewdock/StoreDaemonTest.java
+++ b/src/test/java/yewdock/StoreDaemonTest.java
@@ -30,9 +30,9 @@
     /** Time from the start to readiness that is allowed to a restarted router. */
     private static final long READY_LIMIT_SECONDS = 10;
     private static final String READY_STATUS_LINE = "HTTP/1.1 200";
-    private static final long SLOW_ANSWER_MILLIS = 1_500;
+    private static final long SLOW_ANSWER_MILLIS = 1_000;
     /** Longer than the first call's random delay, a slow answer and some requests after it take. */
-    private static final int LOAD_OVER_FIRST_ANSWER_MILLIS = 4_000;
+    private static final int LOAD_OVER_FIRST_ANSWER_MILLIS = 3_000;
 
     @TempDir
     private Path folder;
