--- a/src/test/java/umberspread/RandomEventsTest.java
+++ b/src/test/java/umberspread/RandomEventsTest.java
@@ -10,12 +10,15 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import umberspread.Routing.DedupGroup;
 import umberspread.Routing.Lifecycle;
 import umberspread.Routing.Outcome;
 import umberspread.Routing.RetrySafety;
 
 /** Delivers seeded random events and checks after each the rules that a single router can keep. */
+@Execution(ExecutionMode.CONCURRENT)
 class RandomEventsTest {
     private static final int SERVERS = 8;
 
--- a/src/test/java/yewdock/model/ManyRoutersTest.java
+++ b/src/test/java/yewdock/model/ManyRoutersTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import yewdock.scenario.ScenarioFile;
@@ -14,6 +16,7 @@
  * Simulates fourteen routers without any common state that send to the same sixty servers: limits that each
  * router keeps by itself must also hold for their sum.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class ManyRoutersTest {
     private static Simulation simulation(long seed, Map<String, Object> overrides) throws Exception {
         return TestScenarios.simulation(
